--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/bench/ControlMeasurements.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/bench/ControlMeasurements.java
@@ -276,7 +276,8 @@
         Optional.empty(),
         Optional.empty(),
         false,
-        Optional.empty());
+        Optional.empty(),
+        0);
   }
 
   private void measureOrganisations(int count) throws IOException, InterruptedException {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
@@ -31,6 +31,9 @@
    */
   void watch(long afterIndex, ViewSink sink);
 
+  /** Tells whether the replica is a member of its group that leads or hears a leader. */
+  boolean isJoined();
+
   /** Tells whether the replica holds any log entry. */
   boolean isInitialised();
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstances.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstances.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.geraniumwharf.internal.raft.InstalledSnapshot;
+import org.geraniumwharf.internal.raft.MemberRules;
 import org.geraniumwharf.internal.raft.RaftCore;
 import org.geraniumwharf.internal.raft.RaftStart;
 import org.geraniumwharf.internal.raft.RaftTiming;
@@ -58,7 +59,7 @@
   /** A data folder that was read and belongs to this process. */
   public static final class OpenedControl implements AutoCloseable {
 
-    private final ControlOptions options;
+    private ControlOptions options;
     private final EventLog log;
     private final DataFolder folder;
     private final FileReplicaStorage.Opened opened;
@@ -76,6 +77,11 @@
       return opened.recovered().isNew();
     }
 
+    /** Starts without any member, as an instance that joins a group which it does not know. */
+    public void forgetInstances() {
+      options = options.withInstances(List.of());
+    }
+
     /**
      * Starts the replica.
      *
@@ -115,7 +121,10 @@
                   .orElse(Membership.of(options.instances(), List.of())),
               recovered.entries(),
               opened.storage(),
-              new SplittableRandom(new SecureRandom().nextLong()));
+              new SplittableRandom(new SecureRandom().nextLong()),
+              options.tolerated() > 0
+                  ? MemberRules.tolerating(options.tolerated())
+                  : MemberRules.manual());
       return RaftCore.create(start, clock.instant());
     }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
@@ -17,6 +17,8 @@
  * @param daemonLease silence after which a daemon counts as gone
  * @param runRetention time a finished run is kept
  * @param maxRuns most finished runs kept
+ * @param tolerated instances that may be lost at once without losing what was acknowledged, where
+ *     the group replaces silent instances by itself; 0 where operators change its members
  */
 public record ControlOptions(
     String name,
@@ -28,9 +30,52 @@
     Duration targetLease,
     Duration daemonLease,
     Duration runRetention,
-    int maxRuns) {
+    int maxRuns,
+    int tolerated) {
 
   public ControlOptions {
     instances = List.copyOf(instances);
   }
+
+  /** Returns the same options for a group that begins with other instances. */
+  public ControlOptions withInstances(List<String> changed) {
+    return new ControlOptions(
+        name,
+        changed,
+        dataFolder,
+        heartbeat,
+        election,
+        snapshotEntries,
+        targetLease,
+        daemonLease,
+        runRetention,
+        maxRuns,
+        tolerated);
+  }
+
+  /** A control instance of a group whose members operators change. */
+  public ControlOptions(
+      String name,
+      List<String> instances,
+      Path dataFolder,
+      Duration heartbeat,
+      Duration election,
+      int snapshotEntries,
+      Duration targetLease,
+      Duration daemonLease,
+      Duration runRetention,
+      int maxRuns) {
+    this(
+        name,
+        instances,
+        dataFolder,
+        heartbeat,
+        election,
+        snapshotEntries,
+        targetLease,
+        daemonLease,
+        runRetention,
+        maxRuns,
+        0);
+  }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
@@ -122,7 +122,8 @@
     return confirmed;
   }
 
-  long quorumMatch(Membership membership, long ownMatch) {
+  /** Returns the newest index of which a majority, and no fewer than some copies, are durable. */
+  long quorumMatch(Membership membership, long ownMatch, int minimumCopies) {
     List<Long> matches = new ArrayList<>();
     for (String voter : membership.voters()) {
       if (voter.equals(self)) {
@@ -132,14 +133,60 @@
         matches.add(progress == null ? 0 : progress.match());
       }
     }
-    return quorumValue(matches);
+    return valueReachedBy(Math.max(majorityOf(matches.size()), minimumCopies), matches);
   }
 
   /** Returns the greatest value that a majority reaches. */
   private static long quorumValue(List<Long> values) {
+    return valueReachedBy(majorityOf(values.size()), values);
+  }
+
+  private static int majorityOf(int count) {
+    return count / 2 + 1;
+  }
+
+  /** Returns the greatest value that so many reach, or all if there are fewer. */
+  private static long valueReachedBy(int count, List<Long> values) {
     List<Long> ordered = new ArrayList<>(values);
     ordered.sort(Comparator.reverseOrder());
-    return ordered.isEmpty() ? 0 : ordered.get(ordered.size() / 2);
+    return ordered.isEmpty() ? 0 : ordered.get(Math.min(count, ordered.size()) - 1);
+  }
+
+  /** Tells whether the group is short of voters, or has one that has to be replaced. */
+  boolean isVoterWanted(Membership membership, MemberRules rules, Instant now) {
+    return membership.voters().size() < rules.wantedVoters()
+        || membership.voters().stream().anyMatch(name -> isSilent(name, rules, now));
+  }
+
+  /**
+   * Returns a silent member that can be removed: a learner, or a voter beyond those wanted, as long
+   * as the voters that are current stay a quorum of the rest.
+   */
+  Optional<String> replaceable(
+      Membership membership, long commit, MemberRules rules, Instant now) {
+    Optional<String> learner =
+        membership.learners().stream().filter(name -> isSilent(name, rules, now)).findFirst();
+    if (learner.isPresent()) {
+      return learner;
+    }
+    int remaining = membership.voters().size() - 1;
+    if (remaining < rules.wantedVoters()) {
+      return Optional.empty();
+    }
+    long current =
+        membership.voters().stream().filter(name -> isCurrent(name, commit, now)).count();
+    return current < Math.max(majorityOf(remaining), rules.minimumCopies())
+        ? Optional.empty()
+        : membership.voters().stream().filter(name -> isSilent(name, rules, now)).findFirst();
+  }
+
+  private boolean isSilent(String name, MemberRules rules, Instant now) {
+    Progress progress = others.get(name);
+    return progress != null && !now.isBefore(progress.answeredAt().plus(rules.silence()));
+  }
+
+  private boolean isCurrent(String name, long commit, Instant now) {
+    return name.equals(self) || (isResponsive(name, now) && others.get(name).match() >= commit);
   }
 
   boolean isQuorumActive(Membership membership, Instant now) {
@@ -152,8 +199,7 @@
 
   boolean isEveryVoterCurrent(Membership membership, long commit, Instant now) {
     return membership.voters().stream()
-        .filter(voter -> !voter.equals(self))
-        .allMatch(voter -> isResponsive(voter, now) && others.get(voter).match() >= commit);
+        .allMatch(voter -> isCurrent(voter, commit, now));
   }
 
   boolean isResponsive(String name, Instant now) {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
@@ -35,6 +35,7 @@
   private final RandomGenerator random;
   private final RaftLog log;
   private final SnapshotSource snapshots;
+  private final MemberRules members;
   private final RaftMessages out;
   private final VoteTally votes = new VoteTally();
   private final List<Outgoing> messages = new ArrayList<>();
@@ -64,6 +65,7 @@
     this.timing = start.timing();
     this.random = start.random();
     this.snapshots = start.snapshots();
+    this.members = start.members();
     this.log =
         RaftLog.startingAfter(
             start.baseIndex(), start.baseTerm(), start.membership(), start.entries());
@@ -259,6 +261,13 @@
     return log.between(index, log.lastIndex());
   }
 
+  /** Tells whether this replica is a member that leads or hears a leader. */
+  public boolean isJoined(Instant now) {
+    boolean isMember = isVoter(self) || log.membership().learners().contains(self);
+    boolean isHearing = now.isBefore(leaderHeardAt.plus(timing.election().multipliedBy(2)));
+    return isMember && (leading.isPresent() || isHearing);
+  }
+
   public boolean isRecovering() {
     return isRecovering;
   }
@@ -417,6 +426,9 @@
     leading = Optional.of(state);
     appendOwn(EntryKind.BARRIER, new byte[0]);
     state.barrierAt(log.lastIndex());
+    if (members.isManaged() && log.membershipIndex() == 0) {
+      appendMembership(log.membership(), now);
+    }
   }
 
   /** A leader heard within the shortest election timeout protects against needless elections. */
@@ -552,7 +564,7 @@
 
   /** Followers hear of a commit with the next flush, not with the next heartbeat. */
   private void advanceCommit(LeaderState state) {
-    long candidate = state.quorumMatch(log.membership(), persistedIndex);
+    long candidate = state.quorumMatch(log.membership(), persistedIndex, members.minimumCopies());
     if (candidate > commit && log.termAt(candidate) == term) {
       commit = candidate;
       isAppendPending = true;
@@ -572,13 +584,26 @@
     if (state.isHeartbeatDue(now)) {
       broadcast(state, now);
     }
-    promoteLearner(state, now);
+    if (log.membershipIndex() <= commit) {
+      keepMembers(state, now);
+    }
   }
 
-  private void promoteLearner(LeaderState state, Instant now) {
-    if (log.membershipIndex() > commit) {
-      return;
+  private void keepMembers(LeaderState state, Instant now) {
+    Optional<String> replaceable =
+        members.isManaged() ? state.replaceable(log.membership(), commit, members, now) : none();
+    if (replaceable.isPresent()) {
+      appendMembership(MembershipChange.apply(log.membership(), replaceable.get(), false), now);
+    } else if (!members.isManaged() || state.isVoterWanted(log.membership(), members, now)) {
+      promoteLearner(state, now);
     }
+  }
+
+  private static Optional<String> none() {
+    return Optional.empty();
+  }
+
+  private void promoteLearner(LeaderState state, Instant now) {
     state
         .caughtUpLearner(log.membership(), commit, now)
         .ifPresent(name -> appendMembership(MembershipChange.promote(log.membership(), name), now));
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftStart.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftStart.java
@@ -18,6 +18,7 @@
  * @param entries durable entries after {@code baseIndex}
  * @param snapshots source of snapshots for replicas that are too far behind
  * @param random source of election timeouts
+ * @param members how the group is kept
  */
 public record RaftStart(
     String group,
@@ -29,9 +30,36 @@
     Membership membership,
     List<LogEntry> entries,
     SnapshotSource snapshots,
-    RandomGenerator random) {
+    RandomGenerator random,
+    MemberRules members) {
 
   public RaftStart {
     entries = List.copyOf(entries);
   }
+
+  /** A replica of a group whose members operators change. */
+  public RaftStart(
+      String group,
+      String self,
+      RaftTiming timing,
+      HardState hardState,
+      long baseIndex,
+      long baseTerm,
+      Membership membership,
+      List<LogEntry> entries,
+      SnapshotSource snapshots,
+      RandomGenerator random) {
+    this(
+        group,
+        self,
+        timing,
+        hardState,
+        baseIndex,
+        baseTerm,
+        membership,
+        entries,
+        snapshots,
+        random,
+        MemberRules.manual());
+  }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -32,11 +32,15 @@
 import org.geraniumwharf.schema.messages.FinishRunCall;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.NameWeightsCall;
 import org.geraniumwharf.schema.messages.NotLeader;
 import org.geraniumwharf.schema.messages.PeerMessage;
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishCall;
 import org.geraniumwharf.schema.messages.PublishOutcome;
+import org.geraniumwharf.schema.messages.ReadDocumentAnswer;
+import org.geraniumwharf.schema.messages.ReadDocumentCall;
+import org.geraniumwharf.schema.messages.ReadIndexAnswer;
 import org.geraniumwharf.schema.messages.ReadIndexCall;
 import org.geraniumwharf.schema.messages.ReplicaStatus;
 import org.geraniumwharf.schema.messages.StatusAnswer;
@@ -45,6 +49,8 @@
 import org.geraniumwharf.schema.state.ClaimRunCommand;
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.FinishRunCommand;
+import org.geraniumwharf.schema.state.NameWeightsCommand;
+import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.PublishCommand;
 import org.geraniumwharf.schema.state.PublishRecord;
 import org.geraniumwharf.schema.state.RunRecord;
@@ -107,6 +113,10 @@
       handleChangeVoters(change, answer, now);
     } else if (call instanceof SteerRolloutCall steer) {
       handleSteer(steer, answer, now);
+    } else if (call instanceof ReadDocumentCall) {
+      readDocument(answer);
+    } else if (call instanceof NameWeightsCall named) {
+      nameWeights(named, answer, now);
     } else if (call instanceof ExplainPlacementCall explain) {
       answer.complete(explain(explain.target()));
     } else {
@@ -152,14 +162,37 @@
         PublishCommand.of(
             publish.publishId(),
             publish.operator(),
-            publish.baseVersion(),
+            publish.version().isPresent()
+                ? state.configuration().version()
+                : publish.baseVersion(),
             Configuration.digestOf(publish.objects()),
             difference.upserts(),
             difference.removals(),
-            now.toEpochMilli()),
+            now.toEpochMilli(),
+            publish.version(),
+            publish.document()),
         answer);
   }
 
+  /** Answers with the document of the set in force once a quorum has confirmed this leader. */
+  private void readDocument(CompletableFuture<ControlAnswer> answer) {
+    CompletableFuture<ControlAnswer> confirmed = new CompletableFuture<>();
+    var unused =
+        confirmed.thenAccept(
+            read ->
+                answer.complete(
+                    read instanceof ReadIndexAnswer
+                        ? ReadDocumentAnswer.of(state.configuration().version(), state.document())
+                        : read));
+    read.accept(confirmed);
+  }
+
+  private void nameWeights(
+      NameWeightsCall call, CompletableFuture<ControlAnswer> answer, Instant now) {
+    NamedWeights weights = NamedWeights.of(call.model(), call.version(), now.toEpochMilli());
+    proposeIfRoom(NameWeightsCommand.of(weights), answer);
+  }
+
   /** A run that another attempt holds needs no entry to say so; every other answer does. */
   private void handleClaim(
       ClaimRunCall claim, CompletableFuture<ControlAnswer> answer, Instant now) {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -70,6 +70,7 @@
   private final Thread thread;
 
   private volatile boolean isInitialised;
+  private volatile boolean isJoined;
   private volatile boolean isStopping;
   private Instant stopDeadline = Instant.MAX;
   private Instant nextTick = Instant.MIN;
@@ -93,7 +94,7 @@
     this.clock = clock;
     this.duties = new LeaderDuties(options);
     this.placement = new PlacementDuty(options, log);
-    this.stream = new ViewStream(state::view);
+    this.stream = new ViewStream(state::view, this::memberNames);
     this.calls =
         new CallHandler(
             options, core, state, duties, placement, storage, this::propose, this::read);
@@ -134,6 +135,11 @@
     submit(() -> stream.add(afterIndex, sink, ageMillis(clock.instant())));
   }
 
+  @Override
+  public boolean isJoined() {
+    return isJoined;
+  }
+
   @Override
   public boolean isInitialised() {
     return isInitialised;
@@ -203,6 +209,7 @@
   private void tick(Instant now) {
     nextTick = now.plus(TICK);
     core.tick(now);
+    isJoined = core.isJoined(now);
     if (core.role() == Role.LEADER) {
       duties.tick(state, now).forEach(this::proposeInternal);
       placement
@@ -355,6 +362,12 @@
     core.read(pending.addRead(answer));
   }
 
+  private List<String> memberNames() {
+    List<String> names = new ArrayList<>(core.membership().voters());
+    names.addAll(core.membership().learners());
+    return names;
+  }
+
   private long ageMillis(Instant now) {
     return core.confirmedAge(now).toMillis();
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -22,14 +22,16 @@
   private static final int MAX_KEPT_CHANGES = 4096;
 
   private final Supplier<FleetView> view;
+  private final Supplier<List<String>> members;
   private final Deque<ViewChange> kept = new ArrayDeque<>();
   private final List<ViewSink> watchers = new ArrayList<>();
   private final List<Waiting> waiting = new ArrayList<>();
   private long keptAfter;
   private long index;
 
-  ViewStream(Supplier<FleetView> view) {
+  ViewStream(Supplier<FleetView> view, Supplier<List<String>> members) {
     this.view = view;
+    this.members = members;
   }
 
   /** Adds a watcher; one that is ahead of this replica waits until the replica has caught up. */
@@ -50,7 +52,7 @@
         return false;
       }
     }
-    return sink.offer(WatchFreshness.of(index, ageMillis));
+    return sink.offer(WatchFreshness.of(index, ageMillis, members.get()));
   }
 
   void changed(ViewChange change, long ageMillis) {
@@ -65,7 +67,7 @@
   /** Tells every watcher how fresh its view is. */
   void fresh(long appliedIndex, long ageMillis) {
     index = appliedIndex;
-    watchers.removeIf(sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis)));
+    watchers.removeIf(sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis, members.get())));
     admitWaiting(ageMillis);
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.placement.PlacementBoard;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.FinishRunAnswer;
+import org.geraniumwharf.schema.messages.NameWeightsAnswer;
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishOutcome;
 import org.geraniumwharf.schema.messages.SteerRolloutAnswer;
@@ -24,6 +25,8 @@
 import org.geraniumwharf.schema.state.IssueOrderCommand;
 import org.geraniumwharf.schema.state.LapseTargetCommand;
 import org.geraniumwharf.schema.state.Membership;
+import org.geraniumwharf.schema.state.NameWeightsCommand;
+import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.ObjectReference;
 import org.geraniumwharf.schema.state.OrderOutcome;
 import org.geraniumwharf.schema.state.OrderRecord;
@@ -52,6 +55,7 @@
   private final TargetTable targets = new TargetTable();
   private final RolloutTable rollouts = new RolloutTable();
   private final RunTable runs = new RunTable();
+  private final WeightsTable weights = new WeightsTable();
   private long index;
 
   private ControlState() {}
@@ -99,6 +103,8 @@
       return Applied.answered(FinishRunAnswer.of(runs.finish(finish)));
     } else if (command instanceof DoubtRunsCommand doubt) {
       runs.doubt(doubt);
+    } else if (command instanceof NameWeightsCommand named) {
+      return applyNamedWeights(before, named.weights());
     } else if (command instanceof PruneCommand prune) {
       runs.prune(prune);
     }
@@ -119,7 +125,8 @@
     List<RolloutRecord> opened = rollouts.published(earlier, configuration(), command.atMillis());
     return new Applied(
         Optional.of(answer),
-        Optional.of(change(before, command.upserts(), command.removals(), List.of(), opened)));
+        Optional.of(change(
+                before, command.upserts(), command.removals(), List.of(), opened, List.of())));
   }
 
   private Applied applyAnnounce(long before, Announcement announcement) {
@@ -197,12 +204,28 @@
     return rollouts.failed(order.deployment(), order.modelVersion(), cause, command.atMillis());
   }
 
+  private Applied applyNamedWeights(long before, NamedWeights named) {
+    Optional<NamedWeights> changed = weights.name(named);
+    Optional<ViewChange> change =
+        changed.map(
+            newest ->
+                change(before, List.of(), List.of(), List.of(), List.of(), List.of(newest)));
+    long version = weights.version(named.model());
+    return new Applied(Optional.of(NameWeightsAnswer.of(version)), change);
+  }
+
   private Applied applySteer(long before, SteerRolloutCommand command) {
     RolloutTable.Steered steered = rollouts.steer(command);
     Optional<ViewChange> change =
         steered.isDone()
             ? Optional.of(
-                change(before, List.of(), List.of(), List.of(), steered.record().stream().toList()))
+                change(
+                    before,
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    steered.record().stream().toList(),
+                    List.of()))
             : Optional.empty();
     return new Applied(
         Optional.of(SteerRolloutAnswer.of(steered.isDone(), steered.message(), steered.record())),
@@ -214,7 +237,8 @@
     return new Applied(
         Optional.empty(),
         record.map(
-            target -> change(before, List.of(), List.of(), List.of(target), changedRollouts)));
+            target -> change(
+                    before, List.of(), List.of(), List.of(target), changedRollouts, List.of())));
   }
 
   private ViewChange change(
@@ -222,7 +246,8 @@
       List<PublishedObject> upserts,
       List<ObjectReference> removals,
       List<TargetRecord> changedTargets,
-      List<RolloutRecord> changedRollouts) {
+      List<RolloutRecord> changedRollouts,
+      List<NamedWeights> changedWeights) {
     return ViewChange.of(
         before,
         index,
@@ -230,7 +255,8 @@
         upserts,
         removals,
         changedTargets,
-        changedRollouts);
+        changedRollouts,
+        changedWeights);
   }
 
   /** Returns what placement decides by. */
@@ -250,6 +276,16 @@
     return publications.configuration();
   }
 
+  /** Returns the document that the set in force came with. */
+  public Optional<byte[]> document() {
+    return publications.document();
+  }
+
+  /** Returns the newest named version of each model's weights. */
+  public List<NamedWeights> weights() {
+    return weights.records();
+  }
+
   public List<PublishRecord> publications() {
     return publications.records();
   }
@@ -286,7 +322,8 @@
         configuration().version(),
         configuration().objects(),
         List.copyOf(targets.records()),
-        rollouts.records());
+        rollouts.records(),
+        weights.records());
   }
 
   public StateSnapshot snapshot(long term, Membership membership) {
@@ -299,7 +336,9 @@
         publications.records(),
         List.copyOf(targets.records()),
         runs.records(),
-        rollouts.records());
+        rollouts.records(),
+        publications.document(),
+        weights.records());
   }
 
   /** Replaces the whole state. */
@@ -307,9 +346,11 @@
     index = snapshot.index();
     publications.restore(
         Configuration.of(snapshot.configurationVersion(), snapshot.objects()),
+        snapshot.document(),
         snapshot.publications());
     targets.restore(snapshot.targets());
     runs.restore(snapshot.runs());
     rollouts.restore(snapshot.rollouts());
+    weights.restore(snapshot.weights());
   }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/PublicationTable.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/PublicationTable.java
@@ -17,6 +17,7 @@
 
   private final Deque<PublishRecord> records = new ArrayDeque<>();
   private Configuration configuration = Configuration.empty();
+  private Optional<byte[]> document = Optional.empty();
 
   PublishAnswer publish(PublishCommand command) {
     Optional<PublishRecord> earlier = find(command.publishId());
@@ -27,12 +28,30 @@
           earlier.get().version(),
           earlier);
     }
+    if (command.version().isPresent()) {
+      return publishHighest(command, command.version().get());
+    }
     if (command.baseVersion() != configuration.version()) {
       return answer(
           PublishOutcome.CONFLICT, configuration.version(), winnerAfter(command.baseVersion()));
     }
-    long version = command.baseVersion() + 1;
+    return accept(command, command.baseVersion() + 1);
+  }
+
+  /** A version that is not higher than the one in force was overtaken, and changes nothing. */
+  private PublishAnswer publishHighest(PublishCommand command, long version) {
+    if (version <= configuration.version()) {
+      return answer(PublishOutcome.REPEATED, configuration.version(), Optional.empty());
+    }
+    if (command.baseVersion() != configuration.version()) {
+      return answer(PublishOutcome.CONFLICT, configuration.version(), Optional.empty());
+    }
+    return accept(command, version);
+  }
+
+  private PublishAnswer accept(PublishCommand command, long version) {
     configuration = configuration.changed(version, command.upserts(), command.removals());
+    document = command.document();
     PublishRecord record =
         PublishRecord.of(
             version, command.publishId(), command.operator(), command.digest(), command.atMillis());
@@ -67,8 +86,17 @@
     return List.copyOf(records);
   }
 
-  void restore(Configuration restored, List<PublishRecord> restoredRecords) {
+  /** Returns the document that the set in force came with. */
+  Optional<byte[]> document() {
+    return document;
+  }
+
+  void restore(
+      Configuration restored,
+      Optional<byte[]> restoredDocument,
+      List<PublishRecord> restoredRecords) {
     configuration = restored;
+    document = restoredDocument;
     records.clear();
     records.addAll(restoredRecords);
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedClients.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedClients.java
@@ -66,7 +66,9 @@
             id,
             List.of(Service.of("service-" + operations, operations)),
             List.of(),
-            now.toEpochMilli()),
+            now.toEpochMilli(),
+            Optional.empty(),
+            Optional.empty()),
         answer -> published(id, acceptedBefore, answer),
         now);
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -143,7 +143,9 @@
             "digest-" + publications,
             objects,
             List.of(),
-            millis()));
+            millis(),
+            Optional.empty(),
+            Optional.empty()));
   }
 
   private void step() {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/SimulatedEngine.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/SimulatedEngine.java
@@ -139,6 +139,7 @@
         Optional.of(Capabilities.of(false, true, true, true, true)),
         Optional.of(EngineProfile.of(8, 20_000, 100, maxLoaded)),
         false,
-        progress);
+        progress,
+        0);
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/state/ControlStateTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/state/ControlStateTest.java
@@ -104,7 +104,15 @@
     return (PublishAnswer)
         apply(
                 PublishCommand.of(
-                    id, operator, base, digest, List.of(Service.of(id, 1)), List.of(), 1))
+                    id,
+                    operator,
+                    base,
+                    digest,
+                    List.of(Service.of(id, 1)),
+                    List.of(),
+                    1,
+                    Optional.empty(),
+                    Optional.empty()))
             .answer()
             .orElseThrow();
   }
@@ -124,7 +132,8 @@
             Optional.empty(),
             Optional.empty(),
             leaving,
-            Optional.empty());
+            Optional.empty(),
+            0);
     return apply(AnnounceCommand.of(announcement)).change().isPresent();
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/OrganisationLimiter.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/OrganisationLimiter.java
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Returns the number of live entry instances that the leader told last. */
+  public synchronized int entryInstances() {
+    return entryInstances;
+  }
+
   /** Returns the demand since the last call, and forgets organisations that are idle. */
   public synchronized List<OrganisationDemand> takeDemands(Instant now) {
     double seconds =
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/configuration/ObjectKind.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/configuration/ObjectKind.java
@@ -1,11 +1,15 @@
 package org.geraniumwharf.configuration;
 
 import org.geraniumwharf.schema.objects.Adapter;
+import org.geraniumwharf.schema.objects.CacheStore;
 import org.geraniumwharf.schema.objects.Deployment;
 import org.geraniumwharf.schema.objects.Model;
 import org.geraniumwharf.schema.objects.ModelVersion;
 import org.geraniumwharf.schema.objects.Organisation;
 import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.objects.RelayLimits;
+import org.geraniumwharf.schema.objects.RelayRoute;
+import org.geraniumwharf.schema.objects.RelayService;
 import org.geraniumwharf.schema.objects.Route;
 import org.geraniumwharf.schema.objects.Service;
 import org.geraniumwharf.schema.objects.WeightStore;
@@ -19,7 +23,11 @@
   DEPLOYMENT("deployment", Deployment.class),
   ROUTE("route", Route.class),
   SERVICE("service", Service.class),
-  WEIGHT_STORE("weight-store", WeightStore.class);
+  WEIGHT_STORE("weight-store", WeightStore.class),
+  RELAY_ROUTE("relay-route", RelayRoute.class),
+  RELAY_SERVICE("relay-service", RelayService.class),
+  CACHE_STORE("cache-store", CacheStore.class),
+  RELAY_LIMITS("relay-limits", RelayLimits.class);
 
   private final String wireName;
   private final Class<? extends PublishedObject> type;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/configuration/ReferenceRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/configuration/ReferenceRules.java
@@ -17,7 +17,9 @@
 import org.geraniumwharf.schema.objects.ModelVersion;
 import org.geraniumwharf.schema.objects.Organisation;
 import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.objects.RelayRoute;
 import org.geraniumwharf.schema.objects.Route;
+import org.geraniumwharf.schema.objects.RouteSplit;
 
 /** Checks the names, references and bounds of one set of objects and collects every fault. */
 public final class ReferenceRules {
@@ -26,6 +28,7 @@
   private final Map<ObjectKind, Map<String, PublishedObject>> objects =
       new EnumMap<>(ObjectKind.class);
   private final Map<String, String> ownerOfKey = new HashMap<>();
+  private final Map<String, String> routeAtPlace = new HashMap<>();
 
   private ReferenceRules() {}
 
@@ -61,6 +64,8 @@
       checkDeployment(sourced, deployment);
     } else if (object instanceof Route route) {
       checkRoute(sourced, route);
+    } else if (object instanceof RelayRoute route) {
+      checkRelayRoute(sourced, route);
     }
   }
 
@@ -77,6 +82,34 @@
       }
       index++;
     }
+    for (String digest : organisation.keyDigests()) {
+      String owner = ownerOfKey.putIfAbsent(digest, organisation.name());
+      if (owner != null && !owner.equals(organisation.name())) {
+        report(sourced, "keyDigests", "a key already belongs to organisation " + owner);
+      }
+    }
+  }
+
+  private void checkRelayRoute(SourcedObject sourced, RelayRoute route) {
+    long weight = 0;
+    for (RouteSplit split : route.splits()) {
+      requireObject(sourced, "splits", ObjectKind.RELAY_SERVICE, split.service());
+      if (split.weight() < 0) {
+        report(sourced, "splits", "a weight must not be negative");
+      }
+      weight += split.weight();
+    }
+    if (weight <= 0) {
+      report(sourced, "splits", "the weights must add up to more than 0");
+    }
+    if (route.timeoutMillis() < 1) {
+      report(sourced, "timeoutMillis", "must be at least 1");
+    }
+    String place = route.host() + route.pathPrefix();
+    String other = routeAtPlace.putIfAbsent(place, route.name());
+    if (other != null) {
+      report(sourced, "pathPrefix", "relay route " + other + " has the same host and prefix");
+    }
   }
 
   private void checkDeployment(SourcedObject sourced, Deployment deployment) {
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -0,0 +1,138 @@
+package org.geraniumwharf.relay;
+
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumwharf.internal.routing.RendezvousHash;
+import org.geraniumwharf.schema.objects.EngineCapacity;
+
+/**
+ * Chooses the target of a request by the estimated time until it answers: prompt that has to be read
+ * there, and the work of this instance that is already there, taken to be a fair sample of the work
+ * of all instances. Requests with a context that no target is known to keep go to the home that a
+ * hash of the context names, so that instances agree without talking.
+ */
+public final class RelayPlacement {
+
+  private static final double PREFILL_TOKENS_PER_MILLI = 140;
+
+  /** Time that one more running request costs another, ms. */
+  private static final double MILLIS_PER_RUNNING = 6;
+
+  private static final double MILLIS_PER_PLAIN = 20;
+
+  /** Share of a context that its home is expected to keep although this instance never sent it. */
+  private static final double HOME_EXPECTATION = 0.6;
+
+  /** Share of the memory of an engine above which requests are likely to be preempted. */
+  private static final double CROWDED = 0.8;
+
+  private static final double CROWDED_MILLIS = 2000;
+  private static final double OTHER_DATA_CENTRE_MILLIS = 2;
+
+  private final String dataCentre;
+
+  private RelayPlacement(String dataCentre) {
+    this.dataCentre = dataCentre;
+  }
+
+  /**
+   * Creates the policy of an instance.
+   *
+   * @param dataCentre where the instance stands
+   */
+  public static RelayPlacement in(String dataCentre) {
+    return new RelayPlacement(dataCentre);
+  }
+
+  /**
+   * A chosen target.
+   *
+   * @param target the target
+   * @param cost estimated time that it costs the request, ms
+   * @param keptTokens tokens of the prompt that the target probably keeps
+   * @param inFlight requests of this instance that were under way there
+   */
+  public record Choice(RelayTarget target, double cost, int keptTokens, int inFlight) {}
+
+  /**
+   * Returns the cheapest target that has room.
+   *
+   * @param excluded targets that this request has tried
+   * @param instances live entry instances, this one among them
+   */
+  public Optional<Choice> choose(
+      RelayWork work,
+      List<RelayTarget> targets,
+      RelayLoadTable table,
+      Set<String> excluded,
+      int instances,
+      Instant now) {
+    String home = home(work, targets);
+    return targets.stream()
+        .filter(target -> !excluded.contains(target.id()))
+        .map(target -> evaluate(work, target, home, table.load(target.id(), work, now), instances))
+        .flatMap(Optional::stream)
+        .min(Comparator.comparingDouble(Choice::cost));
+  }
+
+  private Optional<Choice> evaluate(
+      RelayWork work,
+      RelayTarget target,
+      String home,
+      RelayLoadTable.Load load,
+      int instances) {
+    if (load.isResting() || load.inFlight() >= RelayShare.of(work, target, instances)) {
+      return Optional.empty();
+    }
+    double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
+    cost += work.isGeneration() ? generation(work, target, home, load, instances) : plain(load);
+    return Optional.of(new Choice(target, cost, load.keptTokens(), load.inFlight()));
+  }
+
+  private static double plain(RelayLoadTable.Load load) {
+    return load.inFlight() * MILLIS_PER_PLAIN;
+  }
+
+  private static double generation(
+      RelayWork work,
+      RelayTarget target,
+      String home,
+      RelayLoadTable.Load load,
+      int instances) {
+    double missing = work.request().promptTokens() - load.keptTokens();
+    if (target.id().equals(home)) {
+      int shared = work.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+      missing -= HOME_EXPECTATION * Math.max(0, shared - load.keptTokens());
+    }
+    double cost = missing / PREFILL_TOKENS_PER_MILLI;
+    cost += load.inFlight() * MILLIS_PER_RUNNING * instances / 2;
+    return cost + crowding(work, load, instances);
+  }
+
+  /** Memory that runs out costs preemptions, which read whole prompts again. */
+  private static double crowding(RelayWork work, RelayLoadTable.Load load, int instances) {
+    EngineCapacity engine = work.service().engine().orElseThrow();
+    double expected = (double) load.footprint() * instances / 2 + work.footprint();
+    double used = expected / engine.cacheTokens();
+    return used <= CROWDED ? 0 : (used - CROWDED) * CROWDED_MILLIS;
+  }
+
+  private static String home(RelayWork work, List<RelayTarget> targets) {
+    if (!work.isGeneration()) {
+      return "";
+    }
+    List<PromptPart> shared = work.sharedParts();
+    String context = work.cacheScope() + '/' + shared.get(shared.size() - 1).id();
+    return targets.stream()
+        .map(RelayTarget::id)
+        .max(Comparator.comparingLong(id -> weight(context, id)))
+        .orElse("");
+  }
+
+  private static long weight(String context, String target) {
+    return RendezvousHash.keyOf(context + '@' + target);
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -0,0 +1,98 @@
+package org.geraniumwharf.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Requests of one service that wait for a place, the most urgent first. Safe for use by several
+ * threads; its lock is held while no other is taken.
+ *
+ * <p>Answers a crest that lasts a second or less: waiting is worth it while the answer can still be
+ * on time or little later. A longer crest is refused at once, with the time after which room is
+ * expected.
+ *
+ * @param <T> what waits
+ */
+public final class RelayQueue<T> {
+
+  /** Longest wait that a request is taken in for, however long its caller would wait. */
+  private static final Duration LONGEST_WAIT = Duration.ofMillis(1500);
+
+  /** Longest wait, relative to the time that the caller gives. */
+  private static final int PATIENCE_DIVISOR = 4;
+
+  /** Rate that is assumed before any request has ended, requests a second. */
+  private static final double FIRST_RATE = 20;
+
+  private static final double SMOOTHING = 0.1;
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private final TreeSet<Waiting<T>> waiting =
+      new TreeSet<>(
+          Comparator.<Waiting<T>>comparingInt(Waiting::priority)
+              .thenComparingLong(Waiting::number));
+  private long nextNumber;
+  private double meanGapMillis = MILLIS_PER_SECOND / FIRST_RATE;
+  private Instant lastEnd = Instant.MIN;
+
+  /**
+   * A request that waits.
+   *
+   * @param item what waits
+   * @param priority rank, 0 first
+   * @param number order of arrival
+   * @param givesUpAt time at which waiting ends
+   */
+  public record Waiting<T>(T item, int priority, long number, Instant givesUpAt) {}
+
+  /**
+   * What became of a request that asked to wait.
+   *
+   * @param place its place in the queue; empty when it was refused
+   * @param expectedWait time until its turn
+   */
+  public record Admission<T>(Optional<Waiting<T>> place, Duration expectedWait) {}
+
+  /** Takes a request in, or refuses it when its turn would come too late. */
+  public synchronized Admission<T> offer(T item, int priority, Instant deadline, Instant now) {
+    Duration patience = Duration.between(now, deadline).dividedBy(PATIENCE_DIVISOR);
+    Duration longest = patience.compareTo(LONGEST_WAIT) < 0 ? patience : LONGEST_WAIT;
+    Waiting<T> place = new Waiting<>(item, priority, nextNumber, now.plus(longest));
+    int ahead = waiting.headSet(place).size();
+    Duration expected = Duration.ofMillis((long) ((ahead + 1) * meanGapMillis));
+    if (expected.compareTo(longest) > 0) {
+      return new Admission<>(Optional.empty(), expected);
+    }
+    nextNumber++;
+    waiting.add(place);
+    return new Admission<>(Optional.of(place), expected);
+  }
+
+  /** Returns what waits, the most urgent first. */
+  public synchronized List<Waiting<T>> inOrder() {
+    return new ArrayList<>(waiting);
+  }
+
+  /** Takes a request out; false when it is no longer waiting. */
+  public synchronized boolean remove(Waiting<T> place) {
+    return waiting.remove(place);
+  }
+
+  public synchronized int size() {
+    return waiting.size();
+  }
+
+  /** Notes that a request of the service ended, which tells how fast places come free. */
+  public synchronized void ended(Instant now) {
+    if (!lastEnd.equals(Instant.MIN)) {
+      double gap = Duration.between(lastEnd, now).toNanos() / 1e6;
+      meanGapMillis += SMOOTHING * (Math.min(gap, MILLIS_PER_SECOND) - meanGapMillis);
+    }
+    lastEnd = now;
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayRequest.java
@@ -0,0 +1,48 @@
+package org.geraniumwharf.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What is known of a relayed request before it is placed. The body stays opaque.
+ *
+ * @param id id of this attempt of the caller
+ * @param method HTTP method
+ * @param host host that was asked for, without a port
+ * @param path path without the query
+ * @param key opaque key of the caller
+ * @param patience time that the caller waits, if it said so
+ * @param model model that is asked for
+ * @param prompt parts of the prompt, in order
+ * @param promptTokens tokens of the prompt
+ * @param outputTokens most tokens that are generated
+ * @param lastEventId event of a stream after which the caller wants to go on
+ * @param arrivedAt time at which the whole request was read
+ */
+public record RelayRequest(
+    String id,
+    String method,
+    String host,
+    String path,
+    Optional<String> key,
+    Optional<Duration> patience,
+    Optional<String> model,
+    List<PromptPart> prompt,
+    int promptTokens,
+    int outputTokens,
+    Optional<String> lastEventId,
+    Instant arrivedAt) {
+
+  public RelayRequest {
+    prompt = List.copyOf(prompt);
+  }
+
+  /** Returns the time at which neither the caller nor the operator wants it to go on. */
+  public Instant deadline(long timeoutMillis) {
+    Instant timeout = arrivedAt.plusMillis(timeoutMillis);
+    Instant given = patience.map(arrivedAt::plus).orElse(timeout);
+    return given.isBefore(timeout) ? given : timeout;
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
@@ -0,0 +1,105 @@
+package org.geraniumwharf.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumwharf.configuration.Configuration;
+import org.geraniumwharf.schema.objects.Organisation;
+import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.objects.RelayLimits;
+import org.geraniumwharf.schema.objects.RelayRoute;
+import org.geraniumwharf.schema.objects.RelayService;
+
+/**
+ * Look-ups of one configuration that a relayed request needs. Immutable.
+ *
+ * <pre>{@code
+ * RelayTable table = RelayTable.of(configuration);
+ * Optional<RelayRoute> route = table.route("quotes.example", "/drafts/7");
+ * }</pre>
+ */
+public final class RelayTable {
+
+  private final Configuration configuration;
+  private final Map<String, List<RelayRoute>> routesOfHost = new HashMap<>();
+  private final Map<String, RelayService> services = new HashMap<>();
+  private final Map<String, Organisation> organisationOfDigest = new HashMap<>();
+  private Optional<RelayLimits> limits = Optional.empty();
+
+  private RelayTable(Configuration configuration) {
+    this.configuration = configuration;
+    configuration.objects().forEach(this::add);
+    routesOfHost
+        .values()
+        .forEach(routes -> routes.sort(Comparator.comparing(RelayTable::prefixLength).reversed()));
+  }
+
+  public static RelayTable of(Configuration configuration) {
+    return new RelayTable(configuration);
+  }
+
+  private void add(PublishedObject object) {
+    if (object instanceof RelayRoute route) {
+      String host = route.host().toLowerCase(Locale.ROOT);
+      routesOfHost.computeIfAbsent(host, key -> new ArrayList<>()).add(route);
+    } else if (object instanceof RelayService service) {
+      services.put(service.name(), service);
+    } else if (object instanceof RelayLimits found) {
+      limits = Optional.of(found);
+    } else if (object instanceof Organisation organisation) {
+      organisation.keyDigests().forEach(digest -> organisationOfDigest.put(digest, organisation));
+    }
+  }
+
+  private static int prefixLength(RelayRoute route) {
+    return route.pathPrefix().length();
+  }
+
+  /** Tells whether this table was made from a configuration. */
+  public boolean isOf(Configuration other) {
+    return configuration == other;
+  }
+
+  /** Returns the route whose prefix is the longest that the path starts with. */
+  public Optional<RelayRoute> route(String host, String path) {
+    return routesOfHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
+        .filter(route -> path.startsWith(route.pathPrefix()))
+        .findFirst();
+  }
+
+  public Optional<RelayService> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  /** Returns the organisation that holds a key. */
+  public Optional<Organisation> organisation(String key) {
+    return Optional.ofNullable(organisationOfDigest.get(digestOf(key)));
+  }
+
+  /** Tells whether requests on routes that are not open need a key. */
+  public boolean isKeyed() {
+    return !organisationOfDigest.isEmpty();
+  }
+
+  public Optional<RelayLimits> limits() {
+    return limits;
+  }
+
+  /** Returns the form in which a key is published. */
+  public static String digestOf(String key) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every JDK has SHA-256", e);
+    }
+  }
+}
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesTest.java
@@ -23,7 +23,10 @@
           List.of(),
           List.of(),
           1,
-          Optional.of(OrganisationLimits.of(LIMIT, 1_000_000, 10_000)));
+          Optional.of(OrganisationLimits.of(LIMIT, 1_000_000, 10_000)),
+          List.of(),
+          Optional.empty(),
+          false);
 
   private final LimitShares shares = LimitShares.create();
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/OrganisationLimiterTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/OrganisationLimiterTest.java
@@ -18,7 +18,14 @@
   private static final Instant NOW = Instant.ofEpochSecond(1000);
   private static final Organisation ORGANISATION =
       Organisation.of(
-          "one", List.of(), List.of(), 1, Optional.of(OrganisationLimits.of(100, 100_000, 1000)));
+          "one",
+          List.of(),
+          List.of(),
+          1,
+          Optional.of(OrganisationLimits.of(100, 100_000, 1000)),
+          List.of(),
+          Optional.empty(),
+          false);
 
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/placement/Boards.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/placement/Boards.java
@@ -58,7 +58,8 @@
             Optional.of(Capabilities.of(true, true, true, true, true)),
             Optional.of(EngineProfile.of(8, 20_000, 100, maxLoaded)),
             false,
-            Optional.empty());
+            Optional.empty(),
+            0);
     engines.add(TargetRecord.of(announcement, false, Optional.empty()));
     return this;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
@@ -19,6 +19,7 @@
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.http.BearerTokens;
 import org.geraniumwharf.internal.http.ErrorAnswers;
+import org.geraniumwharf.internal.http.ErrorBodies;
 import org.geraniumwharf.internal.http.HttpEdge;
 import org.geraniumwharf.internal.http.ReadinessPage;
 import org.geraniumwharf.internal.http.RequestAttributes;
@@ -225,7 +226,7 @@
       return;
     }
     try {
-      byte[] body = ErrorAnswers.encode(requestId, error);
+      byte[] body = ErrorBodies.encode(requestId, error);
       new HttpAnswerSink(context).append(body);
     } catch (IOException e) {
       log.info(Event.of("caller-gone").with("request", requestId));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -167,6 +167,7 @@
       DeploymentWork work) {
     return FleetMembership.create(
         identity,
+        settings.daemon().roles().contains("entry"),
         directory,
         links,
         client,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -30,12 +30,14 @@
    * Wires the parts.
    *
    * @param identity what this daemon tells of itself
+   * @param isEntry whether it takes requests of callers
    * @param lease time without a fresh view after which the daemon stops serving
    * @param work work in flight, told to the leader
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
       DaemonStatus identity,
+      boolean isEntry,
       ControlDirectory directory,
       PeerLinks links,
       ControlClient client,
@@ -53,7 +55,7 @@
             identity.name(), directory, links, client, holder, readiness, reachability, log, clock);
     HeartbeatSender heartbeats =
         new HeartbeatSender(
-            identity, client, holder, readiness, registrations, limiter, work, log, clock);
+            identity, isEntry, client, holder, readiness, registrations, limiter, work, log, clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -13,6 +13,7 @@
 import org.geraniumwharf.placement.ServableVersions;
 import org.geraniumwharf.routing.RoutableTarget;
 import org.geraniumwharf.schema.objects.Deployment;
+import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.RolloutRecord;
 import org.geraniumwharf.schema.state.RolloutState;
 import org.geraniumwharf.schema.state.TargetRecord;
@@ -26,23 +27,26 @@
 public final class FleetSnapshot {
 
   private static final FleetSnapshot EMPTY =
-      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of());
+      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of());
 
   private final long index;
   private final Configuration configuration;
   private final Map<String, TargetRecord> targets;
   private final Map<String, RolloutRecord> rollouts;
+  private final Map<String, NamedWeights> weights;
   private final Map<String, List<RoutableTarget>> routable = new ConcurrentHashMap<>();
 
   private FleetSnapshot(
       long index,
       Configuration configuration,
       Map<String, TargetRecord> targets,
-      Map<String, RolloutRecord> rollouts) {
+      Map<String, RolloutRecord> rollouts,
+      Map<String, NamedWeights> weights) {
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
     this.rollouts = rollouts;
+    this.weights = weights;
   }
 
   static FleetSnapshot empty() {
@@ -54,7 +58,8 @@
         view.index(),
         Configuration.of(view.configurationVersion(), view.objects()),
         withTargets(Map.of(), view.targets()),
-        withRollouts(Map.of(), view.rollouts()));
+        withRollouts(Map.of(), view.rollouts()),
+        withWeights(Map.of(), view.weights()));
   }
 
   FleetSnapshot changed(ViewChange change) {
@@ -67,12 +72,13 @@
         change.index(),
         newConfiguration,
         withTargets(targets, change.targets()),
-        withRollouts(rollouts, change.rollouts()));
+        withRollouts(rollouts, change.rollouts()),
+        withWeights(weights, change.weights()));
   }
 
   /** Returns the same view at a later index, at which nothing in it had changed. */
   FleetSnapshot advanced(long newIndex) {
-    return new FleetSnapshot(newIndex, configuration, targets, rollouts);
+    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights);
   }
 
   private static Map<String, TargetRecord> withTargets(
@@ -89,6 +95,18 @@
     return after;
   }
 
+  private static Map<String, NamedWeights> withWeights(
+      Map<String, NamedWeights> before, List<NamedWeights> changes) {
+    Map<String, NamedWeights> after = new HashMap<>(before);
+    changes.forEach(named -> after.put(named.model(), named));
+    return after;
+  }
+
+  /** Returns the newest version of a model's weights that an operator named. */
+  public Optional<NamedWeights> namedWeights(String model) {
+    return Optional.ofNullable(weights.get(model));
+  }
+
   public long index() {
     return index;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -20,6 +20,7 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
   private final DaemonStatus identity;
+  private final boolean isEntry;
   private final ControlClient client;
   private final FleetViewHolder holder;
   private final Readiness readiness;
@@ -32,6 +33,7 @@
 
   HeartbeatSender(
       DaemonStatus identity,
+      boolean isEntry,
       ControlClient client,
       FleetViewHolder holder,
       Readiness readiness,
@@ -41,6 +43,7 @@
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
+    this.isEntry = isEntry;
     this.client = client;
     this.holder = holder;
     this.readiness = readiness;
@@ -81,7 +84,7 @@
         identity
             .withConfigurationVersion(view.configuration().version())
             .withViewIndex(view.index())
-            .withReady(readiness.isReady(now))
+            .withReady(isEntry && readiness.isReady(now))
             .withLeaving(readiness.isLeaving());
     try {
       HeartbeatAnswer answer =
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.geraniumwharf.announcement.AnnouncementOrder;
 import org.geraniumwharf.schema.messages.TargetRenewal;
 import org.geraniumwharf.schema.targets.Announcement;
@@ -37,6 +38,11 @@
     return true;
   }
 
+  /** Returns the newest announcement of a target that was heard here within the lease. */
+  public synchronized Optional<Announcement> newest(String id) {
+    return Optional.ofNullable(heard.get(id)).map(Heard::announcement);
+  }
+
   /** What the next heartbeat carries. */
   record Report(List<Announcement> announcements, List<TargetRenewal> renewals) {}
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -21,6 +21,7 @@
 import org.geraniumwharf.schema.messages.ReadIndexAnswer;
 import org.geraniumwharf.schema.messages.ReadIndexCall;
 import org.geraniumwharf.schema.messages.WatchCall;
+import org.geraniumwharf.schema.messages.WatchFreshness;
 
 /**
  * Keeps one watch stream open, to the local control instance if there is one, and moves on to
@@ -74,9 +75,9 @@
 
   @Override
   public void run() {
-    List<String> order = order();
     try {
       while (!Thread.currentThread().isInterrupted()) {
+        List<String> order = order();
         String instance = order.get(nextInstance % order.size());
         nextInstance++;
         watch(instance);
@@ -137,6 +138,9 @@
       }
       if (message != null) {
         Instant now = clock.instant();
+        if (message instanceof WatchFreshness freshness) {
+          directory.learn(freshness.members());
+        }
         FleetViewHolder.Received received = holder.apply(message, now);
         reachability.accountedFor(instance, now);
         if (received.age().compareTo(STALE) < 0 && received.index() >= holder.current().index()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ErrorAnswers.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ErrorAnswers.java
@@ -10,14 +10,10 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.handler.ErrorHandler;
 import org.eclipse.jetty.util.Callback;
-import org.geraniumwharf.error.ErrorKind;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
-import org.geraniumwharf.schema.Codec;
-import org.geraniumwharf.schema.callers.ErrorAnswer;
-import org.geraniumwharf.schema.callers.ErrorBody;
 
 /** Turns every failure into an error answer of the closed list. */
 public final class ErrorAnswers {
@@ -93,28 +89,13 @@
     error
         .retryAfter()
         .ifPresent(wait -> context.header("Retry-After", String.valueOf(seconds(wait))));
-    context.result(encode(requestId, error));
+    context.result(ErrorBodies.encode(requestId, error));
   }
 
   private static long seconds(Duration wait) {
     return Math.max(1, (wait.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
   }
 
-  /** Encodes an error in the shape that OpenAI clients expect. */
-  public static byte[] encode(String requestId, ServingException error) {
-    ErrorKind kind = error.kind();
-    return Codec.json()
-        .encode(
-            ErrorAnswer.of(
-                ErrorBody.of(
-                    error.getMessage() + ". " + kind.advice(),
-                    kind.type().wireName(),
-                    kind.wireName(),
-                    error.field().filter(field -> !field.isEmpty()),
-                    error.execution().wireName(),
-                    requestId)));
-  }
-
   /** Answers errors that the server finds before any route is reached. */
   ErrorHandler jettyHandler() {
     return new ErrorHandler() {
@@ -127,7 +108,7 @@
                 .with("kind", error.kind().wireName())
                 .with("run", error.execution().wireName())
                 .with("message", error.getMessage()));
-        byte[] body = encode("", error);
+        byte[] body = ErrorBodies.encode("", error);
         response.getHeaders().put("Content-Type", JSON);
         response.getHeaders().put("Content-Length", body.length);
         response.write(true, ByteBuffer.wrap(body), callback);
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -0,0 +1,320 @@
+package org.geraniumwharf.internal.node;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.admission.OrganisationLimiter;
+import org.geraniumwharf.control.ControlException;
+import org.geraniumwharf.control.ControlInstance;
+import org.geraniumwharf.control.ControlInstances;
+import org.geraniumwharf.control.ControlOptions;
+import org.geraniumwharf.internal.fleet.ControlClient;
+import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.internal.fleet.DeploymentWork;
+import org.geraniumwharf.internal.fleet.FleetMembership;
+import org.geraniumwharf.internal.fleet.FleetSnapshot;
+import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.TargetRegistrations;
+import org.geraniumwharf.internal.http.ApiServer;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.internal.relay.Relay;
+import org.geraniumwharf.internal.transport.ClusterKey;
+import org.geraniumwharf.internal.transport.PeerLinks;
+import org.geraniumwharf.internal.transport.PeerNetwork;
+import org.geraniumwharf.internal.transport.PeerService;
+import org.geraniumwharf.internal.transport.Sockets;
+import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.schema.messages.DaemonStatus;
+import org.geraniumwharf.schema.messages.PeerMessage;
+
+/** One process of a relaying fleet: starts its parts in order and shuts them down gracefully. */
+public final class NodeRuntime {
+
+  private static final int EVENT_LOOPS = 1;
+  private static final int MAX_WORKERS = 64;
+  private static final long WORKER_IDLE_SECONDS = 20;
+  private static final Duration HEARTBEAT = Duration.ofMillis(150);
+  private static final Duration ELECTION = Duration.ofMillis(750);
+  private static final int SNAPSHOT_ENTRIES = 2000;
+  private static final Duration TARGET_LEASE = Duration.ofSeconds(5);
+  private static final Duration DAEMON_LEASE = Duration.ofSeconds(3);
+
+  /** A node that lost touch goes on with the view it has, for as long as this. */
+  private static final Duration VIEW_LEASE = Duration.ofHours(12);
+
+  private static final Duration RUN_RETENTION = Duration.ofHours(1);
+  private static final int MAX_RUNS = 1000;
+
+  /** Time in which the balancer notices that the node is no longer ready. */
+  private static final Duration NOTICE = Duration.ofMillis(2600);
+
+  /** Part of the grace time in which requests under way may still end. */
+  private static final double DRAIN_SHARE = 0.87;
+
+  private static final Duration POLL = Duration.ofMillis(40);
+  private static final Duration CONTROL_STOP = Duration.ofSeconds(2);
+
+  private final NodeSettings settings;
+  private final NodeEdges edges;
+  private final EventLog log;
+  private final InstantSource clock;
+  private final DaemonMetrics metrics = DaemonMetrics.create();
+  private final EventLoopGroup loops = new NioEventLoopGroup(EVENT_LOOPS);
+  private final ExecutorService workers =
+      new ThreadPoolExecutor(
+          0, MAX_WORKERS, WORKER_IDLE_SECONDS, TimeUnit.SECONDS, new SynchronousQueue<>());
+  private final ControlDirectory directory;
+  private final PeerNetwork network;
+  private final PeerLinks links;
+  private final ControlClient client;
+  private final FleetViewHolder holder = FleetViewHolder.create();
+  private final TargetRegistrations registrations = TargetRegistrations.create(TARGET_LEASE);
+  private final OrganisationLimiter limiter = OrganisationLimiter.create();
+  private final FleetMembership membership;
+  private Optional<ControlInstances.OpenedControl> opened = Optional.empty();
+  private Optional<ControlInstance> instance = Optional.empty();
+  private Optional<Relay> relay = Optional.empty();
+
+  private NodeRuntime(
+      NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
+    this.settings = settings;
+    this.edges = edges;
+    this.log = log;
+    this.clock = clock;
+    this.directory = ControlDirectory.ofSeeds(settings.seeds());
+    this.network =
+        PeerNetwork.create(
+            settings.peer(),
+            ClusterKey.of(settings.clusterKey()),
+            Sockets.of(Optional.empty()),
+            () -> instance.map(ControlInstance::isInitialised).orElse(false),
+            log);
+    this.links = PeerLinks.create(network, directory::address, workers, clock);
+    this.client = ControlClient.create(settings.peer(), directory, links, clock);
+    this.membership =
+        FleetMembership.create(
+            identity(),
+            settings.isEntry(),
+            directory,
+            links,
+            client,
+            holder,
+            registrations,
+            VIEW_LEASE,
+            limiter,
+            DeploymentWork.create(),
+            log,
+            clock);
+  }
+
+  /**
+   * Wires a node.
+   *
+   * @param edges how callers, targets and operators speak to it
+   */
+  public static NodeRuntime create(
+      NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
+    return new NodeRuntime(settings, edges, log, clock);
+  }
+
+  private DaemonStatus identity() {
+    return DaemonStatus.of(
+        settings.peer(),
+        clock.instant().toEpochMilli(),
+        settings.dataCentre(),
+        0,
+        0,
+        false,
+        false,
+        settings.control().orElse(""));
+  }
+
+  /**
+   * Starts every part; returns once all listen.
+   *
+   * @throws IOException if an address cannot be used
+   * @throws ControlException if the data folder cannot be used
+   */
+  public void start() throws IOException, ControlException, InterruptedException {
+    PeerService peers =
+        PeerService.start(network, ControlDirectory.parseAddress(settings.peer()), log);
+    holder.onChange(this::logConfiguration);
+    if (settings.isControl()) {
+      startControl(peers);
+    }
+    membership.start();
+    if (settings.isEntry()) {
+      startEntry();
+    }
+    if (settings.metrics().isPresent()) {
+      startApi(settings.metrics().get(), request -> CompletableFuture.completedFuture(metrics()));
+    }
+    log.info(
+        Event.of("node-started")
+            .with("node", settings.label())
+            .with("peer", settings.peer())
+            .with("dataCentre", settings.dataCentre())
+            .with("entry", settings.entry().orElse("none"))
+            .with("control", settings.control().orElse("none"))
+            .with("bootstrap", settings.isBootstrap())
+            .with("seeds", settings.seeds()));
+  }
+
+  private void startControl(PeerService peers) throws ControlException, InterruptedException {
+    Path folder = settings.dataFolder().orElseThrow();
+    opened = Optional.of(ControlInstances.open(options(folder), log));
+    ControlInstances.OpenedControl control = opened.get();
+    boolean isFounder = settings.isBootstrap() && settings.seeds().contains(settings.peer());
+    if (control.isNew() && !isFounder) {
+      control.forgetInstances();
+    }
+    ControlInstance started =
+        control.start(
+            (to, message) -> links.send(to, (PeerMessage) message),
+            clock,
+            control.isNew() && !isFounder);
+    instance = Optional.of(started);
+    peers.control(started);
+    membership.local(started);
+    startThread(new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner");
+    ControlService service =
+        new ControlService(
+            settings.peer(), client, membership, holder, registrations, log, clock);
+    startApi(settings.control().orElseThrow(), edges.control(service, workers));
+  }
+
+  private ControlOptions options(Path folder) {
+    return new ControlOptions(
+        settings.peer(),
+        settings.seeds(),
+        folder,
+        HEARTBEAT,
+        ELECTION,
+        SNAPSHOT_ENTRIES,
+        TARGET_LEASE,
+        DAEMON_LEASE,
+        RUN_RETENTION,
+        MAX_RUNS,
+        settings.tolerated());
+  }
+
+  private void startEntry() throws InterruptedException {
+    Relay.Rules rules =
+        new Relay.Rules(settings.dataCentre(), settings.retryShare(), settings.retryReserve());
+    Relay started =
+        Relay.start(
+            holder,
+            membership.readiness(),
+            edges.relay(),
+            rules,
+            limiter::entryInstances,
+            loops,
+            ControlDirectory.parseAddress(settings.entry().orElseThrow()),
+            metrics,
+            log,
+            clock);
+    relay = Optional.of(started);
+    metrics.gauge("in_flight", started::inFlight);
+    metrics.gauge("ready", () -> isReady() ? 1 : 0);
+    startApi(settings.ready().orElseThrow(), edges.readiness(this::isReady));
+  }
+
+  private boolean isReady() {
+    return membership.readiness().isReady(clock.instant())
+        && holder.current().configuration().version() > 0;
+  }
+
+  private void startApi(String address, ApiServer.ApiHandler handler) throws InterruptedException {
+    InetSocketAddress parsed = ControlDirectory.parseAddress(address);
+    ApiServer.start(loops, parsed, handler, log);
+  }
+
+  private ApiServer.ApiAnswer metrics() {
+    byte[] text = metrics.prometheusText().getBytes(StandardCharsets.UTF_8);
+    return ApiServer.ApiAnswer.text(200, text);
+  }
+
+  private static void startThread(Runnable work, String name) {
+    Thread thread = new Thread(work, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void logConfiguration(FleetSnapshot before, FleetSnapshot after) {
+    if (before.configuration().version() != after.configuration().version()) {
+      log.info(
+          Event.of("configuration-applied")
+              .with("version", after.configuration().version())
+              .with("index", after.index()));
+    }
+  }
+
+  /** Takes changed settings; only the seeds can change while the process runs. */
+  public void reload(NodeSettings changed) {
+    directory.replaceSeeds(changed.seeds());
+    log.info(Event.of("settings-reloaded").with("seeds", changed.seeds()));
+  }
+
+  /** Turns unready, finishes the requests under way, hands leadership over and stops. */
+  public void shutdown() {
+    Instant begun = clock.instant();
+    log.info(Event.of("shutdown-started").with("inFlight", inFlight()));
+    membership.readiness().leaving();
+    membership.changed();
+    relay.ifPresent(running -> drain(running, begun));
+    instance.ifPresent(NodeRuntime::stopControl);
+    membership.stop();
+    links.close();
+    network.close();
+    log.info(Event.of("shutdown-finished").with("cut", inFlight()));
+  }
+
+  private static void stopControl(ControlInstance running) {
+    var unused =
+        running
+            .shutdown()
+            .completeOnTimeout(null, CONTROL_STOP.toMillis(), TimeUnit.MILLISECONDS)
+            .join();
+  }
+
+  private void drain(Relay running, Instant begun) {
+    running.leave();
+    Duration whole = settings.grace().multipliedBy((long) (DRAIN_SHARE * 100)).dividedBy(100);
+    Instant end = begun.plus(whole);
+    Instant noticeEnd = begun.plus(NOTICE);
+    while (clock.instant().isBefore(noticeEnd)) {
+      pause();
+    }
+    while (running.inFlight() > 0 && clock.instant().isBefore(end)) {
+      running.closeIdle();
+      pause();
+    }
+    running.closeIdle();
+    pause();
+  }
+
+  private int inFlight() {
+    return relay.map(Relay::inFlight).orElse(0);
+  }
+
+  private static void pause() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(POLL.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -0,0 +1,57 @@
+package org.geraniumwharf.internal.node;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Settings of one process of a relaying fleet.
+ *
+ * @param label name of the process for logs
+ * @param dataCentre data centre it stands in
+ * @param dataFolder folder of the replicated log; present where it holds control state
+ * @param isBootstrap whether the whole fleet starts for the first time
+ * @param peer address for the other processes; it is also the name within the control group
+ * @param entry address for callers, where it takes requests
+ * @param ready address of the readiness check, where it takes requests
+ * @param control address for targets and operators, where it holds control state
+ * @param metrics address of the metrics
+ * @param seeds peer addresses of the first control instances
+ * @param tolerated control instances that may be lost at once
+ * @param clusterKey key that proves membership between processes
+ * @param retryShare repeats of all instances together, relative to the requests
+ * @param retryReserve repeats of all instances together beyond that share
+ * @param grace time between the signal to stop and the end of the process
+ */
+public record NodeSettings(
+    String label,
+    String dataCentre,
+    Optional<Path> dataFolder,
+    boolean isBootstrap,
+    String peer,
+    Optional<String> entry,
+    Optional<String> ready,
+    Optional<String> control,
+    Optional<String> metrics,
+    List<String> seeds,
+    int tolerated,
+    String clusterKey,
+    double retryShare,
+    double retryReserve,
+    Duration grace) {
+
+  public NodeSettings {
+    seeds = List.copyOf(seeds);
+  }
+
+  /** Tells whether the process takes requests of callers. */
+  public boolean isEntry() {
+    return entry.isPresent();
+  }
+
+  /** Tells whether the process holds control state. */
+  public boolean isControl() {
+    return dataFolder.isPresent() && control.isPresent();
+  }
+}
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -0,0 +1,141 @@
+package org.geraniumwharf.internal.node;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.geraniumwharf.internal.settings.InvalidSettingsException;
+
+/** Reads the settings of a node from an INI file and reports every fault with section and key. */
+public final class NodeSettingsLoader {
+
+  private static final String ADDRESS = "[^ :]+:[0-9]{1,5}";
+  private static final int MIN_KEY_LENGTH = 16;
+
+  private final INIConfiguration ini;
+  private final List<String> faults = new ArrayList<>();
+
+  private NodeSettingsLoader(INIConfiguration ini) {
+    this.ini = ini;
+  }
+
+  /**
+   * Loads and checks a file.
+   *
+   * @throws InvalidSettingsException if it cannot be read or has any fault
+   */
+  public static NodeSettings load(Path file) throws InvalidSettingsException {
+    INIConfiguration ini = new INIConfiguration();
+    try (Reader reader = Files.newBufferedReader(file)) {
+      ini.read(reader);
+    } catch (IOException | ConfigurationException e) {
+      throw new InvalidSettingsException(List.of("cannot read " + file + ": " + e));
+    }
+    return new NodeSettingsLoader(ini).convert();
+  }
+
+  private NodeSettings convert() throws InvalidSettingsException {
+    String peer = requiredAddress("listen", "peer");
+    NodeSettings settings =
+        new NodeSettings(
+            required("node", "name"),
+            required("node", "data-centre"),
+            optional("node", "data-folder").map(Path::of),
+            flag("node", "bootstrap"),
+            peer,
+            optionalAddress("listen", "entry"),
+            optionalAddress("listen", "ready"),
+            optionalAddress("listen", "control"),
+            optionalAddress("listen", "metrics"),
+            seeds(peer),
+            (int) number("control", "tolerated-losses"),
+            clusterKey(),
+            number("relay", "retry-share"),
+            number("relay", "retry-reserve"),
+            Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
+    if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
+      faults.add("[node] data-folder: a control instance needs a data folder");
+    }
+    if (!faults.isEmpty()) {
+      throw new InvalidSettingsException(faults);
+    }
+    return settings;
+  }
+
+  /** Every process listens for its peers at the same port. */
+  private List<String> seeds(String peer) {
+    String port = peer.substring(peer.lastIndexOf(':') + 1);
+    List<String> seeds = new ArrayList<>();
+    for (String seed : required("control", "seeds").split(",")) {
+      if (seed.strip().matches(ADDRESS)) {
+        seeds.add(seed.strip().substring(0, seed.strip().lastIndexOf(':') + 1) + port);
+      } else {
+        faults.add("[control] seeds: expected host:port but found " + seed);
+      }
+    }
+    return seeds;
+  }
+
+  private String clusterKey() {
+    String key = required("node", "cluster-key");
+    if (key.length() < MIN_KEY_LENGTH) {
+      faults.add("[node] cluster-key: must have at least " + MIN_KEY_LENGTH + " characters");
+    }
+    return key;
+  }
+
+  private Optional<String> optional(String section, String key) {
+    String value = ini.getSection(section).getString(key, "").strip();
+    return value.isEmpty() ? Optional.empty() : Optional.of(value);
+  }
+
+  private String required(String section, String key) {
+    Optional<String> value = optional(section, key);
+    if (value.isEmpty()) {
+      faults.add("[" + section + "] " + key + ": is missing");
+    }
+    return value.orElse("");
+  }
+
+  private Optional<String> optionalAddress(String section, String key) {
+    Optional<String> value = optional(section, key);
+    value.ifPresent(address -> checkAddress(section, key, address));
+    return value;
+  }
+
+  private String requiredAddress(String section, String key) {
+    String value = required(section, key);
+    checkAddress(section, key, value);
+    return value;
+  }
+
+  private void checkAddress(String section, String key, String value) {
+    if (!value.matches(ADDRESS)) {
+      faults.add("[" + section + "] " + key + ": expected host:port but found " + value);
+    }
+  }
+
+  private boolean flag(String section, String key) {
+    String value = required(section, key);
+    if (!value.equals("true") && !value.equals("false")) {
+      faults.add("[" + section + "] " + key + ": expected true or false but found " + value);
+    }
+    return value.equals("true");
+  }
+
+  private double number(String section, String key) {
+    String value = required(section, key);
+    try {
+      return Double.parseDouble(value);
+    } catch (NumberFormatException e) {
+      faults.add("[" + section + "] " + key + ": expected a number but found " + value);
+      return 0;
+    }
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/operator/OperatorEdge.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/operator/OperatorEdge.java
@@ -166,7 +166,12 @@
     PublishAnswer answer =
         control.call(
             PublishCall.of(
-                fields.publishId(), fields.operator(), fields.baseVersion(), reader.objects()),
+                fields.publishId(),
+                fields.operator(),
+                fields.baseVersion(),
+                reader.objects(),
+                Optional.empty(),
+                Optional.empty()),
             PublishAnswer.class,
             clock.instant().plus(CALL_TIMEOUT));
     log.info(
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -0,0 +1,88 @@
+package org.geraniumwharf.internal.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.geraniumwharf.error.ServingErrors;
+import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.Readiness;
+import org.geraniumwharf.internal.routing.RendezvousHash;
+import org.geraniumwharf.relay.RelayRequest;
+import org.geraniumwharf.relay.RelayTable;
+import org.geraniumwharf.relay.RelayWork;
+import org.geraniumwharf.schema.objects.Organisation;
+import org.geraniumwharf.schema.objects.RelayRoute;
+import org.geraniumwharf.schema.objects.RelayService;
+import org.geraniumwharf.schema.objects.RouteSplit;
+
+/** Finds route, caller and service of a request in the newest view. */
+final class RelayAdmission {
+
+  private static final Duration RETRY_UNREADY = Duration.ofMillis(300);
+
+  private final Readiness readiness;
+  private volatile RelayTargets targets;
+
+  private RelayAdmission(FleetViewHolder holder, Readiness readiness) {
+    this.readiness = readiness;
+    this.targets = RelayTargets.of(holder.current(), Optional.empty());
+    holder.onChange((before, after) -> targets = RelayTargets.of(after, Optional.of(targets)));
+  }
+
+  static RelayAdmission create(FleetViewHolder holder, Readiness readiness) {
+    return new RelayAdmission(holder, readiness);
+  }
+
+  RelayTargets targets() {
+    return targets;
+  }
+
+  /**
+   * Admits a request.
+   *
+   * @throws ServingException if it may not be served; it has not run
+   */
+  RelayWork admit(RelayRequest request, Instant now) throws ServingException {
+    try {
+      readiness.check(now);
+      if (targets.view().configuration().version() == 0) {
+        throw ServingErrors.notReady("no configuration was published yet");
+      }
+    } catch (ServingException e) {
+      throw e.withRetryAfter(RETRY_UNREADY);
+    }
+    RelayTable table = targets.table();
+    RelayRoute route =
+        table
+            .route(request.host(), request.path())
+            .orElseThrow(() -> ServingErrors.notFound(request.path()));
+    Optional<Organisation> organisation = organisation(table, route, request);
+    RelayService service = table.service(chooseService(route, request.id())).orElseThrow();
+    return new RelayWork(
+        request, route, service, organisation, request.deadline(route.timeoutMillis()));
+  }
+
+  private static Optional<Organisation> organisation(
+      RelayTable table, RelayRoute route, RelayRequest request) throws ServingException {
+    Optional<Organisation> known = request.key().flatMap(table::organisation);
+    if (known.isEmpty() && table.isKeyed() && !route.open()) {
+      throw ServingErrors.unauthenticated("the key is missing or unknown");
+    }
+    return known;
+  }
+
+  /** Splits by a hash of the request, so that the shares need no shared state. */
+  private static String chooseService(RelayRoute route, String requestId) {
+    long total = route.splits().stream().mapToLong(RouteSplit::weight).sum();
+    double position = RendezvousHash.fraction(RendezvousHash.keyOf(requestId)) * total;
+    long passed = 0;
+    for (RouteSplit split : route.splits()) {
+      passed += split.weight();
+      if (position < passed) {
+        return split.service();
+      }
+    }
+    return route.splits().get(0).service();
+  }
+}
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -0,0 +1,101 @@
+package org.geraniumwharf.internal.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.schema.objects.RelayLimits;
+
+/** Accepts callers. */
+final class RelayServer {
+
+  private static final int BACKLOG = 1024;
+  private static final int MAX_LINE_BYTES = 8192;
+  private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+  /** Bounds that hold until the first configuration is known. */
+  private static final RelayLimits DEFAULT_LIMITS =
+      RelayLimits.of("default", 16 << 10, 4 << 20, 3000, 15_000);
+
+  /** Connections are kept a little longer than callers may rely on. */
+  private static final long IDLE_MARGIN_MILLIS = 1000;
+
+  private final RelayFront front;
+  private final EventLoopGroup loops;
+  private final Map<EventLoop, TargetConnections> targets = new ConcurrentHashMap<>();
+  private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private volatile boolean isLeaving;
+
+  RelayServer(RelayFront front, EventLoopGroup loops) {
+    this.front = front;
+    this.loops = loops;
+  }
+
+  /** Starts to accept connections. */
+  void start(InetSocketAddress address) throws InterruptedException {
+    new ServerBootstrap()
+        .group(loops)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                accept(channel);
+              }
+            })
+        .bind(address)
+        .sync();
+  }
+
+  private void accept(SocketChannel channel) {
+    RelayLimits limits = front.admission().targets().table().limits().orElse(DEFAULT_LIMITS);
+    CallerConnection connection =
+        new CallerConnection(
+            front, targetsOf(channel), () -> isLeaving, limits.maxHeaderBytes());
+    connections.add(connection);
+    channel.closeFuture().addListener(closed -> connections.remove(connection));
+    long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
+    channel
+        .pipeline()
+        .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+        .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+        .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
+        .addLast(connection);
+  }
+
+  private TargetConnections targetsOf(Channel channel) {
+    return targets.computeIfAbsent(
+        channel.eventLoop(),
+        loop -> new TargetConnections(loop, front.protocol(), front.clock()));
+  }
+
+  /** Ends each connection with its next answer from now on. */
+  void leave() {
+    isLeaving = true;
+  }
+
+  /** Closes the connections on which no request is under way. */
+  void closeIdle() {
+    connections.forEach(connection -> connection.closeIfIdleSoon());
+  }
+
+  int inFlight() {
+    return front.inFlight().get();
+  }
+}
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnections.java
@@ -0,0 +1,104 @@
+package org.geraniumwharf.internal.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import jdk.net.ExtendedSocketOptions;
+
+/** Kept connections to targets of one event loop, the one used last first. Confined to its loop. */
+final class TargetConnections {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 700;
+  private static final int MAX_LINE_BYTES = 8192;
+  private static final int MAX_HEAD_BYTES = 64 << 10;
+  private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+  /** Idle time, interval and count of the probes that find a connection gone silent. */
+  private static final int PROBE_SECONDS = 1;
+
+  private static final int PROBES = 2;
+
+  private final EventLoop loop;
+  private final RelayProtocol protocol;
+  private final InstantSource clock;
+  private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
+
+  TargetConnections(EventLoop loop, RelayProtocol protocol, InstantSource clock) {
+    this.loop = loop;
+    this.protocol = protocol;
+    this.clock = clock;
+  }
+
+  /** Hands out a kept connection or opens one; nothing was sent when it fails. */
+  void acquire(
+      InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
+    Deque<TargetConnection> kept = idle.get(address.toString());
+    Instant now = clock.instant();
+    while (kept != null && !kept.isEmpty()) {
+      TargetConnection newest = kept.pop();
+      if (newest.isUsable(now)) {
+        opened.accept(newest);
+        return;
+      }
+      newest.close();
+    }
+    connect(address, opened, failed);
+  }
+
+  private void connect(
+      InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
+    ChannelFuture connecting = bootstrap().connect(address);
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            opened.accept(connecting.channel().pipeline().get(TargetConnection.class));
+          } else {
+            failed.accept(done.cause());
+          }
+        });
+  }
+
+  private Bootstrap bootstrap() {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(new TargetConnection(channel, protocol, clock));
+              }
+            });
+  }
+
+  /** Keeps a connection whose answer has ended, if it can carry another request. */
+  void release(InetSocketAddress address, TargetConnection connection) {
+    if (connection.isKept()) {
+      connection.setReading(true);
+      idle.computeIfAbsent(address.toString(), key -> new ArrayDeque<>()).push(connection);
+    }
+  }
+}
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -50,7 +50,7 @@
     boolean isReadyUnconfirmed = readiness.isReady(NOW);
     readiness.confirmed(11);
     boolean isReadyBehind = readiness.isReady(NOW);
-    holder.apply(WatchFreshness.of(11, 0), NOW);
+    holder.apply(WatchFreshness.of(11, 0, List.of()), NOW);
 
     assertFalse(isReadyUnconfirmed);
     assertFalse(isReadyBehind);
@@ -61,7 +61,7 @@
   void should_turn_unready_when_the_view_is_stale_for_the_lease() {
     holder.apply(snapshot(10, 4), NOW);
     readiness.confirmed(10);
-    holder.apply(WatchFreshness.of(10, 400_000), NOW.plusSeconds(4));
+    holder.apply(WatchFreshness.of(10, 400_000, List.of()), NOW.plusSeconds(4));
 
     assertTrue(readiness.isReady(NOW.plusMillis(4900)));
     assertFalse(readiness.isReady(NOW.plusSeconds(5)));
@@ -81,11 +81,11 @@
   }
 
   private static WatchSnapshot snapshot(long index, long version) {
-    return WatchSnapshot.of(FleetView.of(index, version, List.of(), List.of(), List.of()), 0);
+    return WatchSnapshot.of(FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0);
   }
 
   private static ViewChange change(long index, long version) {
     return ViewChange.of(
-        0, index, version, List.of(Service.of("added", 1)), List.of(), List.of(), List.of());
+        0, index, version, List.of(Service.of("added", 1)), List.of(), List.of(), List.of(), List.of());
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
@@ -71,7 +71,7 @@
         OrderRecord.of(
             TERM, SEQUENCE, "drafting", "v2", List.of(), List.of("v1"), true, "weights", 0);
     TargetRecord record = TargetRecord.of(announcement(1), false, Optional.of(order));
-    FleetView view = FleetView.of(1, 1, List.of(), List.of(record), List.of());
+    FleetView view = FleetView.of(1, 1, List.of(), List.of(record), List.of(), List.of());
     holder.apply(WatchSnapshot.of(view, 0), NOW);
   }
 
@@ -89,6 +89,7 @@
         Optional.empty(),
         Optional.empty(),
         false,
-        Optional.empty());
+        Optional.empty(),
+        0);
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
@@ -28,7 +28,15 @@
 
   static final Instant NOW = Instant.ofEpochSecond(1000);
   static final Organisation ORGANISATION =
-      Organisation.of("wanjiru", List.of(), List.of("quotes"), 1, Optional.empty());
+      Organisation.of(
+          "wanjiru",
+          List.of(),
+          List.of("quotes"),
+          1,
+          Optional.empty(),
+          List.of(),
+          Optional.empty(),
+          false);
   static final Route ROUTE =
       Route.of(
           "quotes",
@@ -77,7 +85,8 @@
             Optional.of(Capabilities.of(true, true, true, true, true)),
             Optional.of(EngineProfile.of(8, 20_000, 100, 1)),
             false,
-            Optional.empty()),
+            Optional.empty(),
+            0),
         false,
         Optional.empty());
   }
--- a/geraniumwharf-testing/src/main/java/org/geraniumwharf/internal/testing/StandIn.java
+++ b/geraniumwharf-testing/src/main/java/org/geraniumwharf/internal/testing/StandIn.java
@@ -93,7 +93,8 @@
             Optional.empty(),
             Optional.empty(),
             isLeaving,
-            Optional.empty()));
+            Optional.empty(),
+            0));
   }
 
   private void leave() {
