Save shared parts of prompts at stores once and fetch them

Change: each entry follows the events of the managed stores; a part that other requests share is saved once at the store that a weighted hash names, and fetched only once a store reported it whole.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -33,11 +33,11 @@
       int inFlight, long footprint, int keptTokens, boolean isResting, Instant restsUntil) {}
 
   /** Returns the load of a target for one request. */
-  public synchronized Load load(String target, RelayWork work, Instant now) {
-    Entry entry = entry(target);
+  public synchronized Load load(RelayTarget target, RelayWork work, Instant now) {
+    Entry entry = entry(target.id());
     int kept =
         work.isGeneration()
-            ? entry.parts.keptTokens(work.cacheScope(), work.request().prompt())
+            ? entry.parts.keptTokens(work.cacheScope(target), work.request().prompt())
             : 0;
     return new Load(
         entry.inFlight,
@@ -48,13 +48,13 @@
   }
 
   /** Counts a request that is being sent; its prompt will be kept there. */
-  public synchronized void sent(String target, RelayWork work) {
-    Entry entry = entry(target);
+  public synchronized void sent(RelayTarget target, RelayWork work) {
+    Entry entry = entry(target.id());
     entry.inFlight++;
     if (work.isGeneration()) {
       entry.footprint += work.footprint();
       long capacity = work.service().engine().orElseThrow().cacheTokens();
-      entry.parts.add(work.cacheScope(), work.request().prompt(), capacity);
+      entry.parts.add(work.cacheScope(target), work.request().prompt(), capacity);
     }
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -17,6 +17,7 @@
 public final class RelayPlacement {
 
   private static final double PREFILL_TOKENS_PER_MILLI = 140;
+  private static final double FETCHED_TOKENS_PER_MILLI = 240;
 
   /** Time that one more running request costs another, ms. */
   private static final double MILLIS_PER_RUNNING = 6;
@@ -60,6 +61,7 @@
   /**
    * Returns the cheapest target that has room.
    *
+   * @param storedTokens tokens at the start of the prompt that cache stores hold
    * @param excluded targets that this request has tried
    * @param instances live entry instances, this one among them
    */
@@ -67,13 +69,14 @@
       RelayWork work,
       List<RelayTarget> targets,
       RelayLoadTable table,
+      int storedTokens,
       Set<String> excluded,
       int instances,
       Instant now) {
     String home = home(work, targets);
     return targets.stream()
         .filter(target -> !excluded.contains(target.id()))
-        .map(target -> evaluate(work, target, home, table.load(target.id(), work, now), instances))
+        .map(target -> evaluate(work, target, home, table.load(target, work, now), storedTokens, instances))
         .flatMap(Optional::stream)
         .min(Comparator.comparingDouble(Choice::cost));
   }
@@ -83,12 +86,13 @@
       RelayTarget target,
       String home,
       RelayLoadTable.Load load,
+      int storedTokens,
       int instances) {
     if (load.isResting() || load.inFlight() >= RelayShare.of(work, target, instances)) {
       return Optional.empty();
     }
     double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-    cost += work.isGeneration() ? generation(work, target, home, load, instances) : plain(load);
+    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens, instances) : plain(load);
     return Optional.of(new Choice(target, cost, load.keptTokens(), load.inFlight()));
   }
 
@@ -101,13 +105,16 @@
       RelayTarget target,
       String home,
       RelayLoadTable.Load load,
+      int storedTokens,
       int instances) {
-    double missing = work.request().promptTokens() - load.keptTokens();
+    double fetched = Math.max(0, storedTokens - load.keptTokens());
+    double missing = work.request().promptTokens() - load.keptTokens() - fetched;
     if (target.id().equals(home)) {
       int shared = work.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-      missing -= HOME_EXPECTATION * Math.max(0, shared - load.keptTokens());
+      int known = Math.max(storedTokens, load.keptTokens());
+      missing -= HOME_EXPECTATION * Math.max(0, shared - known);
     }
-    double cost = missing / PREFILL_TOKENS_PER_MILLI;
+    double cost = missing / PREFILL_TOKENS_PER_MILLI + fetched / FETCHED_TOKENS_PER_MILLI;
     cost += load.inFlight() * MILLIS_PER_RUNNING * instances / 2;
     return cost + crowding(work, load, instances);
   }
@@ -125,7 +132,7 @@
       return "";
     }
     List<PromptPart> shared = work.sharedParts();
-    String context = work.cacheScope() + '/' + shared.get(shared.size() - 1).id();
+    String context = shared.get(shared.size() - 1).id();
     return targets.stream()
         .map(RelayTarget::id)
         .max(Comparator.comparingLong(id -> weight(context, id)))
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayWork.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayWork.java
@@ -47,9 +47,14 @@
     return service.engine().isPresent() && !request.prompt().isEmpty();
   }
 
-  /** Returns the name that separates kept cache which must not be shared. */
-  public String cacheScope() {
-    return organisation.filter(Organisation::isolated).map(owner -> "o-" + owner.name()).orElse("all");
+  /**
+   * Returns the name that separates kept cache which must not be shared: that of other weights, and
+   * that of an organisation that stays apart.
+   */
+  public String cacheScope(RelayTarget target) {
+    String owner =
+        organisation.filter(Organisation::isolated).map(found -> "-" + found.name()).orElse("");
+    return "v" + target.weightsVersion() + owner;
   }
 
   /** Returns the parts that other requests of the same context share. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -219,6 +219,7 @@
             holder,
             membership.readiness(),
             edges.relay(),
+            edges.cache(),
             rules,
             limiter::entryInstances,
             loops,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
@@ -36,6 +37,7 @@
       FleetViewHolder holder,
       Readiness readiness,
       RelayProtocol protocol,
+      CacheProtocol cache,
       Rules rules,
       IntSupplier instances,
       EventLoopGroup loops,
@@ -48,6 +50,9 @@
         RelayFront.create(holder, readiness, protocol, rules, instances, metrics, log, clock);
     RelayServer server = new RelayServer(front, loops);
     server.start(address);
+    EventLoop loop = loops.next();
+    TargetConnections connections = new TargetConnections(loop, protocol, clock);
+    front.followStores(cache, new TargetCalls(loop, connections), loop, holder);
     return new Relay(server);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -185,7 +185,7 @@
     tried.add(target.id());
     TargetCall next = new TargetCall(this, target);
     call = Optional.of(next);
-    front.load().sent(target.id(), work);
+    front.load().sent(target, work);
     logDecision(choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
     caller
@@ -208,7 +208,8 @@
     sends++;
     next.connected(opened);
     RelayProtocol.Sending sending =
-        new RelayProtocol.Sending(work, next.target(), left, lastEvent);
+        new RelayProtocol.Sending(
+            work, next.target(), left, lastEvent, front.transfers(work, next.target()));
     HttpHeaders headers = front.protocol().toTarget(request.headers(), sending);
     ByteBuf body = request.content().retainedDuplicate();
     if (body.isReadable() || request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -1,8 +1,10 @@
 package org.geraniumwharf.internal.relay;
 
+import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,11 +15,16 @@
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
+import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.RelayWork;
+import org.geraniumwharf.relay.StoredParts;
+import org.geraniumwharf.relay.TransferPlanner;
 import org.geraniumwharf.retry.RetryBudget;
+import org.geraniumwharf.schema.objects.CacheStore;
 
 /** What the exchanges of one instance share. Its tables lock themselves. */
 final class RelayFront {
@@ -35,6 +42,9 @@
   private final InstantSource clock;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
+  private final StoredParts stored = StoredParts.create();
+  private final TransferPlanner transfers = TransferPlanner.of(stored);
+  private volatile Optional<StoreFollowers> followers = Optional.empty();
   private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
 
   private RelayFront(
@@ -127,15 +137,46 @@
   }
 
   Optional<RelayPlacement.Choice> choose(RelayWork work, Set<String> tried, Instant now) {
+    List<RelayTarget> targets = admission.targets().of(work.service().name());
     return placement.choose(
         work,
-        admission.targets().of(work.service().name()),
+        targets,
         load,
+        storedTokens(work, targets),
         tried,
         instances.getAsInt(),
         now);
   }
 
+  private int storedTokens(RelayWork work, List<RelayTarget> targets) {
+    if (!work.isGeneration() || targets.isEmpty()) {
+      return 0;
+    }
+    return transfers.storedTokens(work, answeringStores(), work.cacheScope(targets.get(0)));
+  }
+
+  private List<CacheStore> answeringStores() {
+    return followers.map(StoreFollowers::answering).orElse(List.of());
+  }
+
+  /** Follows the cache stores over some calls from now on. */
+  void followStores(CacheProtocol cache, TargetCalls calls, EventLoop loop, FleetViewHolder holder) {
+    StoreFollowers started = new StoreFollowers(stored, cache, calls, loop, log);
+    followers = Optional.of(started);
+    started.follow(holder.current().configuration());
+    holder.onChange(
+        (before, after) -> {
+          if (before.configuration() != after.configuration()) {
+            started.follow(after.configuration());
+          }
+        });
+  }
+
+  /** Plans what a target exchanges with cache stores for a request. */
+  CacheTransfers transfers(RelayWork work, RelayTarget target) {
+    return transfers.plan(work, answeringStores(), work.cacheScope(target), now());
+  }
+
   /** Notes that a request of a service ended, and lets the next ones try for its place. */
   void ended(RelayWork work, Instant now) {
     queue(work).ended(now);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayProtocol.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayProtocol.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.RelayWork;
@@ -31,9 +32,14 @@
    * @param target where it is sent
    * @param left time that the target may take
    * @param resumeAfter last event that the caller already has, where a stream goes on
+   * @param transfers what the target exchanges with cache stores
    */
   record Sending(
-      RelayWork work, RelayTarget target, Duration left, Optional<String> resumeAfter) {}
+      RelayWork work,
+      RelayTarget target,
+      Duration left,
+      Optional<String> resumeAfter,
+      CacheTransfers transfers) {}
 
   /** Reads the head of a target's answer. */
   TargetReply reply(HttpResponse head);
