Rank routes within the rank of an organisation

Cause: a rank of an organisation replaced that of the route, so that long drafts of one organisation went before the short checks of the same one; at the crest everything was late. Change: the rank that a target gets holds that of the organisation first and that of the route within it.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -54,9 +54,11 @@
    * @param target the target
    * @param cost estimated time that it costs the request, ms
    * @param keptTokens tokens of the prompt that the target probably keeps
+   * @param storedTokens tokens at the start of the prompt that cache stores hold
    * @param inFlight requests of this instance that were under way there
    */
-  public record Choice(RelayTarget target, double cost, int keptTokens, int inFlight) {}
+  public record Choice(
+      RelayTarget target, double cost, int keptTokens, int storedTokens, int inFlight) {}
 
   /**
    * Returns the cheapest target that has room.
@@ -93,7 +95,7 @@
     }
     double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
     cost += work.isGeneration() ? generation(work, target, home, load, storedTokens, instances) : plain(load);
-    return Optional.of(new Choice(target, cost, load.keptTokens(), load.inFlight()));
+    return Optional.of(new Choice(target, cost, load.keptTokens(), storedTokens, load.inFlight()));
   }
 
   private static double plain(RelayLoadTable.Load load) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayWork.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayWork.java
@@ -24,11 +24,16 @@
     Optional<Organisation> organisation,
     Instant deadline) {
 
-  /** Rank among the requests that wait, 0 first. */
+  /** Rank among the requests that wait, 0 first: that of its organisation, else of its route. */
   public int priority() {
     return organisation.flatMap(Organisation::priority).orElse(route.priority());
   }
 
+  /** Rank among requests of the same {@link #priority}, 0 first. */
+  public int subPriority() {
+    return route.priority();
+  }
+
   /** Tells whether it may run again after a run that failed or whose end is not known. */
   public boolean isRepeatable() {
     return route.execution() == Execution.IDEMPOTENT || isResumable();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.relay.PromptPart;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
 import org.geraniumwharf.relay.RelayRequest;
@@ -478,12 +480,19 @@
                 .with("attempt", sends + 1)
                 .with("costMillis", Math.round(choice.cost()))
                 .with("promptTokens", read.promptTokens())
+                .with("context", context())
                 .with("keptTokens", choice.keptTokens())
+                .with("storedTokens", choice.storedTokens())
                 .with("inFlight", choice.inFlight())
                 .with("waitedMillis", Duration.between(read.arrivedAt(), now).toMillis())
                 .with("view", front.admission().targets().view().index()));
   }
 
+  private String context() {
+    List<PromptPart> shared = work.sharedParts();
+    return shared.isEmpty() ? "none" : shared.get(shared.size() - 1).id();
+  }
+
   private void logEnd(String outcome, String target, String cause, Instant now) {
     front
         .log()
