Bring engines to named weights in waves, and schedule groups that mend themselves

Cause: a named version of weights was recorded and given to no engine; and how a group replaces silent instances was checked by no schedule. Change: the leader orders engines in three waves, with its term as the fencing number and the count of orders expected; silence before a replacement is 1.5 s; ManagedGroupTest runs 400 seeds of forming, kills, lost disks, cuts and replacements. The schedule counts a killed instance as lost until it had its time to catch up, as the deployment rules say.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
@@ -1,5 +1,7 @@
 package org.geraniumwharf.control;
 
+import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.PeerMessage;
@@ -34,6 +36,9 @@
   /** Tells whether the replica is a member of its group that leads or hears a leader. */
   boolean isJoined();
 
+  /** Returns this instance's leadership; empty while it does not lead. */
+  Optional<Leadership> leadership(Instant now);
+
   /** Tells whether the replica holds any log entry. */
   boolean isInitialised();
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MemberRules.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MemberRules.java
@@ -13,7 +13,7 @@
  */
 public record MemberRules(int minimumCopies, int wantedVoters, Duration silence) {
 
-  private static final Duration SILENCE = Duration.ofSeconds(5);
+  private static final Duration SILENCE = Duration.ofMillis(1500);
 
   /** Operators add and remove instances; a majority is enough to commit. */
   public static MemberRules manual() {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -109,7 +109,7 @@
       return true;
     }
     Announcement current = known.get().announcement();
-    return AnnouncementOrder.isNewer(announcement, current)
+    return AnnouncementOrder.isNews(announcement, current)
         && !AnnouncementOrder.isSameContent(announcement, current);
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.control.ControlOptions;
+import org.geraniumwharf.control.Leadership;
 import org.geraniumwharf.control.RaftSender;
 import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.internal.raft.ConfirmedRead;
@@ -71,6 +72,9 @@
 
   private volatile boolean isInitialised;
   private volatile boolean isJoined;
+  private volatile Optional<Leadership> leadership = Optional.empty();
+  private volatile Instant leadershipNotedAt = Instant.MIN;
+  private Instant leaderSince = Instant.MIN;
   private volatile boolean isStopping;
   private Instant stopDeadline = Instant.MAX;
   private Instant nextTick = Instant.MIN;
@@ -140,6 +144,27 @@
     return isJoined;
   }
 
+  @Override
+  public Optional<Leadership> leadership(Instant now) {
+    return leadership.map(
+        known ->
+            new Leadership(
+                known.term(),
+                known.since(),
+                known.confirmedAge().plus(Duration.between(leadershipNotedAt, now)),
+                known.isFirst()));
+  }
+
+  /** Publishes the leadership to other threads as of now. */
+  private void noteLeadership(Instant now) {
+    leadershipNotedAt = now;
+    leadership =
+        core.role() == Role.LEADER
+            ? Optional.of(
+                new Leadership(core.term(), leaderSince, core.confirmedAge(now), core.term() == 1))
+            : Optional.empty();
+  }
+
   @Override
   public boolean isInitialised() {
     return isInitialised;
@@ -210,6 +235,7 @@
     nextTick = now.plus(TICK);
     core.tick(now);
     isJoined = core.isJoined(now);
+    noteLeadership(now);
     if (core.role() == Role.LEADER) {
       duties.tick(state, now).forEach(this::proposeInternal);
       placement
@@ -334,6 +360,7 @@
     if (isLeader && !wasLeader) {
       duties.started(state, now);
       placement.started(now);
+      leaderSince = now;
     }
     lastRole = core.role();
     lastLeader = core.leader();
--- /dev/null
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ManagedGroupSchedule.java
@@ -0,0 +1,270 @@
+package org.geraniumwharf.internal.raft;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.geraniumwharf.schema.messages.ControlAnswer;
+import org.geraniumwharf.schema.messages.PublishAnswer;
+import org.geraniumwharf.schema.messages.PublishOutcome;
+import org.geraniumwharf.schema.objects.Service;
+import org.geraniumwharf.schema.state.Membership;
+import org.geraniumwharf.schema.state.PublishCommand;
+
+/**
+ * One schedule of faults over a group that forms itself from three founders, takes others in and
+ * replaces instances that stay silent; wholly determined by its seed. No more than two instances are
+ * lost at once, but all may be killed together.
+ */
+final class ManagedGroupSchedule {
+
+  private static final Instant START = Instant.ofEpochSecond(1_000_000);
+  private static final Duration STEP = Duration.ofMillis(10);
+  private static final Duration CATCH_UP = Duration.ofSeconds(4);
+  private static final int TOLERATED = 2;
+  private static final int SIZE = 2 * TOLERATED + 1;
+  private static final int FORMING_STEPS = 800;
+  private static final int FAULTY_STEPS = 3000;
+  private static final int HEALING_STEPS = 3000;
+
+  /** Steps in which the last acknowledged change reaches every replica. */
+  private static final int SETTLING_STEPS = 200;
+
+  private static final int JOIN_EVERY = 40;
+  private static final MemberRules RULES =
+      MemberRules.tolerating(TOLERATED);
+
+  private final long seed;
+  private final SplittableRandom random;
+  private final SimulatedNetwork network;
+  private final SafetyChecker checker = new SafetyChecker();
+  private final List<SimulatedReplica> replicas = new ArrayList<>();
+  private final Map<String, Instant> lostUntil = new HashMap<>();
+  private long newestAcknowledged;
+  private long nextVersion = 1;
+  private int nextName;
+  private boolean isPublishing = true;
+  private Instant now = START;
+
+  private ManagedGroupSchedule(long seed) {
+    this.seed = seed;
+    this.random = new SplittableRandom(seed);
+    this.network = new SimulatedNetwork(random.split());
+    List<String> founders = List.of("instance-0", "instance-1", "instance-2");
+    for (int i = 0; i < SIZE; i++) {
+      boolean isFounder = i < founders.size();
+      add(Membership.of(isFounder ? founders : List.of(), List.of()), !isFounder);
+    }
+  }
+
+  private SimulatedReplica add(Membership initial, boolean isJoining) {
+    String name = "instance-" + nextName;
+    nextName++;
+    SimulatedReplica replica =
+        new SimulatedReplica(name, initial, random.split(), network, checker, RULES);
+    if (isJoining) {
+      replica.loseDisk();
+    }
+    replica.start(now);
+    replicas.add(replica);
+    return replica;
+  }
+
+  /** Runs a schedule; fails with an assertion that names the seed. */
+  static void run(long seed) {
+    ManagedGroupSchedule schedule = new ManagedGroupSchedule(seed);
+    try {
+      schedule.run();
+    } catch (RuntimeException | AssertionError e) {
+      throw new AssertionError(
+          "seed " + schedule.seed + ": " + e.getMessage() + "; " + schedule.replicas, e);
+    }
+  }
+
+  private void run() {
+    steps(FORMING_STEPS);
+    checkMembers("after forming");
+    for (int i = 0; i < FAULTY_STEPS; i++) {
+      if (random.nextInt(60) == 0) {
+        injectFault();
+      }
+      steps(1);
+    }
+    network.becomeReliable();
+    for (SimulatedReplica replica : replicas) {
+      replica.endFaults();
+      if (!replica.isUp()) {
+        replica.start(now);
+      }
+    }
+    steps(HEALING_STEPS);
+    isPublishing = false;
+    steps(SETTLING_STEPS);
+    checkMembers("after all faults ended");
+    checkAcknowledged();
+  }
+
+  private void steps(int count) {
+    for (int i = 0; i < count; i++) {
+      now = now.plus(STEP);
+      for (SimulatedNetwork.Delivery delivery : network.due(now)) {
+        find(delivery.to()).ifPresent(replica -> replica.receive(delivery.message(), now));
+      }
+      replicas.forEach(replica -> replica.tick(now));
+      if (random.nextInt(JOIN_EVERY) == 0) {
+        join();
+        if (isPublishing) {
+          publish();
+        }
+      }
+    }
+  }
+
+  private Optional<SimulatedReplica> find(String name) {
+    return replicas.stream().filter(replica -> replica.name().equals(name)).findFirst();
+  }
+
+  /** Instances outside a working group ask whoever leads. */
+  private void join() {
+    Optional<SimulatedReplica> leader =
+        replicas.stream().filter(SimulatedReplica::isLeader).findAny();
+    for (SimulatedReplica replica : replicas) {
+      if (replica.isUp() && !replica.isJoined(now)) {
+        leader.ifPresent(leading -> leading.changeMembership(replica.name(), true, now));
+      }
+    }
+  }
+
+  private void publish() {
+    long version = nextVersion;
+    nextVersion++;
+    SimulatedReplica asked = replicas.get(random.nextInt(replicas.size()));
+    asked.propose(
+        PublishCommand.of(
+            "publish-" + version,
+            "operator",
+            asked.state().configuration().version(),
+            "digest-" + version,
+            List.of(Service.of("service-" + version, 1)),
+            List.of(),
+            now.toEpochMilli(),
+            Optional.of(version),
+            Optional.empty()),
+        answer -> acknowledged(version, answer),
+        now);
+  }
+
+  private void acknowledged(long version, ControlAnswer answer) {
+    if (answer instanceof PublishAnswer published
+        && published.outcome() == PublishOutcome.ACCEPTED) {
+      newestAcknowledged = Math.max(newestAcknowledged, version);
+    }
+  }
+
+  private void injectFault() {
+    switch (random.nextInt(8)) {
+      case 0 -> killAll();
+      case 1, 2 -> lose(SimulatedReplica::crash);
+      case 3 -> lose(SimulatedReplica::loseDisk);
+      case 4 -> lose(SimulatedReplica::crashAtNextWrite);
+      case 5 -> replace();
+      case 6 -> cut();
+      default -> recover();
+    }
+  }
+
+  /**
+   * Every process is killed and comes back, and counts as lost until it has had its time to catch
+   * up; disks and those that were lost stay as they are.
+   */
+  private void killAll() {
+    for (SimulatedReplica replica : replicas) {
+      if (replica.isUp()) {
+        replica.crash();
+        replica.start(now);
+        lostUntil.merge(replica.name(), now.plus(CATCH_UP), ManagedGroupSchedule::later);
+      }
+    }
+  }
+
+  private static Instant later(Instant one, Instant other) {
+    return one.isAfter(other) ? one : other;
+  }
+
+  private void lose(Consumer<SimulatedReplica> fault) {
+    SimulatedReplica replica = replicas.get(random.nextInt(replicas.size()));
+    if (mayLose(replica)) {
+      lostUntil.put(replica.name(), Instant.MAX);
+      fault.accept(replica);
+    }
+  }
+
+  private boolean mayLose(SimulatedReplica replica) {
+    long lost = lostUntil.values().stream().filter(now::isBefore).count();
+    return lost < TOLERATED && !lostUntil.getOrDefault(replica.name(), now).isAfter(now);
+  }
+
+  private void replace() {
+    SimulatedReplica replica = replicas.get(random.nextInt(replicas.size()));
+    if (mayLose(replica)) {
+      replica.crash();
+      replicas.remove(replica);
+      lostUntil.remove(replica.name());
+      SimulatedReplica successor = add(Membership.of(List.of(), List.of()), true);
+      lostUntil.put(successor.name(), now.plus(CATCH_UP));
+    }
+  }
+
+  private void cut() {
+    SimulatedReplica replica = replicas.get(random.nextInt(replicas.size()));
+    if (mayLose(replica)) {
+      lostUntil.put(replica.name(), Instant.MAX);
+      for (SimulatedReplica other : replicas) {
+        network.block(other.name(), replica.name());
+        network.block(replica.name(), other.name());
+      }
+    }
+  }
+
+  private void recover() {
+    network.heal();
+    for (SimulatedReplica replica : replicas) {
+      if (lostUntil.getOrDefault(replica.name(), now).equals(Instant.MAX)) {
+        replica.endFaults();
+        if (!replica.isUp()) {
+          replica.start(now);
+        }
+        lostUntil.put(replica.name(), now.plus(CATCH_UP));
+      }
+    }
+  }
+
+  private void checkMembers(String when) {
+    SimulatedReplica leader =
+        replicas.stream()
+            .filter(SimulatedReplica::isLeader)
+            .findFirst()
+            .orElseThrow(() -> new AssertionError("no leader " + when));
+    List<String> names = replicas.stream().map(SimulatedReplica::name).sorted().toList();
+    List<String> voters = leader.core().membership().voters().stream().sorted().toList();
+    if (!voters.equals(names)) {
+      throw new AssertionError("voters " + voters + " " + when);
+    }
+  }
+
+  private void checkAcknowledged() {
+    if (newestAcknowledged == 0) {
+      throw new AssertionError("nothing was acknowledged");
+    }
+    for (SimulatedReplica replica : replicas) {
+      if (replica.state().configuration().version() < newestAcknowledged) {
+        throw new AssertionError(replica.name() + " lost version " + newestAcknowledged);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ManagedGroupTest.java
@@ -0,0 +1,38 @@
+package org.geraniumwharf.internal.raft;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Groups that form and mend themselves. {@code -Dgroup.seeds=N} runs more schedules, {@code
+ * -Dgroup.seed=N} replays one.
+ */
+class ManagedGroupTest {
+
+  private static final long SEEDS = Long.getLong("group.seeds", 400);
+
+  @Test
+  void should_form_mend_and_lose_nothing_in_every_schedule() {
+    Long replayed = Long.getLong("group.seed");
+    LongStream seeds =
+        replayed != null ? LongStream.of(replayed) : LongStream.rangeClosed(1, SEEDS);
+
+    List<String> failures =
+        seeds.parallel().mapToObj(ManagedGroupTest::failureOf).flatMap(Optional::stream).toList();
+
+    assertEquals(List.of(), failures);
+  }
+
+  private static Optional<String> failureOf(long seed) {
+    try {
+      ManagedGroupSchedule.run(seed);
+      return Optional.empty();
+    } catch (AssertionError e) {
+      return Optional.of(e.getMessage());
+    }
+  }
+}
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedDisk.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedDisk.java
@@ -52,7 +52,12 @@
     snapshot = Optional.empty();
   }
 
-  RaftStart start(String self, RaftTiming timing, Membership initial, RandomGenerator random) {
+  RaftStart start(
+      String self,
+      RaftTiming timing,
+      Membership initial,
+      RandomGenerator random,
+      MemberRules members) {
     return new RaftStart(
         "main",
         self,
@@ -63,7 +68,8 @@
         snapshot.map(InstalledSnapshot::membership).orElse(initial),
         entries,
         this,
-        random);
+        random,
+        members);
   }
 
   private long baseIndex() {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
@@ -32,6 +32,7 @@
   private final RandomGenerator random;
   private final SimulatedNetwork network;
   private final SafetyChecker checker;
+  private final MemberRules members;
   private final SimulatedDisk disk = new SimulatedDisk();
   private final Map<Long, Waiting> waiting = new HashMap<>();
   private final Map<Long, Consumer<Long>> reads = new HashMap<>();
@@ -51,11 +52,22 @@
       RandomGenerator random,
       SimulatedNetwork network,
       SafetyChecker checker) {
+    this(name, initial, random, network, checker, MemberRules.manual());
+  }
+
+  SimulatedReplica(
+      String name,
+      Membership initial,
+      RandomGenerator random,
+      SimulatedNetwork network,
+      SafetyChecker checker,
+      MemberRules members) {
     this.name = name;
     this.initial = initial;
     this.random = random;
     this.network = network;
     this.checker = checker;
+    this.members = members;
   }
 
   String name() {
@@ -70,6 +82,10 @@
     return core.isPresent() && core.get().role() == Role.LEADER;
   }
 
+  boolean isJoined(Instant now) {
+    return core.isPresent() && core.get().isJoined(local(now));
+  }
+
   boolean isRecovering() {
     return core.isPresent() && core.get().isRecovering();
   }
@@ -85,7 +101,7 @@
   void start(Instant now) {
     state = ControlState.empty();
     disk.latest().ifPresent(this::restore);
-    core = Optional.of(RaftCore.create(disk.start(name, TIMING, initial, random), local(now)));
+    core = Optional.of(RaftCore.create(disk.start(name, TIMING, initial, random, members), local(now)));
   }
 
   void crash() {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -75,6 +75,10 @@
     entry(target).health.failed(now);
   }
 
+  public synchronized void refused(String target, Instant now) {
+    entry(target).health.refused(now);
+  }
+
   public synchronized void unreachable(String target, Instant now) {
     entry(target).health.unreachable(now);
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
@@ -11,16 +11,26 @@
 
   private static final Duration FIRST_REST = Duration.ofMillis(500);
   private static final Duration LONGEST_REST = Duration.ofSeconds(4);
-  private static final int MAX_DOUBLINGS = 4;
+  private static final Duration REST_AFTER_REFUSAL = Duration.ofMillis(80);
+  private static final int MAX_DOUBLINGS = 3;
 
   private int failures;
+  private int refusals;
   private Instant restsUntil = Instant.MIN;
 
   void succeeded() {
     failures = 0;
+    refusals = 0;
     restsUntil = Instant.MIN;
   }
 
+  /** Notes a request that the target did not run, as while it is full or takes new weights. */
+  void refused(Instant now) {
+    refusals++;
+    Duration rest = REST_AFTER_REFUSAL.multipliedBy(1L << Math.min(refusals - 1, MAX_DOUBLINGS));
+    restsUntil = now.plus(rest);
+  }
+
   /** Notes a request that failed at the target. */
   void failed(Instant now) {
     failures++;
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/WavePlanner.java
@@ -0,0 +1,48 @@
+package org.geraniumwharf.weights;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Lets the engines of a model take new weights in waves, so that the others serve meanwhile. An
+ * engine that swaps takes no new work and finishes what it runs; the waves therefore follow each
+ * other by time, whether or not the wave before has finished, so that the last one still has time
+ * for its longest runs.
+ */
+public final class WavePlanner {
+
+  private static final int WAVES = 3;
+  private static final Duration BETWEEN_WAVES = Duration.ofMillis(1200);
+
+  private WavePlanner() {}
+
+  /**
+   * How far one engine is.
+   *
+   * @param id the engine
+   * @param isCurrent whether it holds the new weights
+   * @param isSwapping whether it was told to take them
+   */
+  public record EngineProgress(String id, boolean isCurrent, boolean isSwapping) {}
+
+  /**
+   * Returns the engines that take the weights now.
+   *
+   * @param elapsed time since the weights were named
+   */
+  public static List<String> next(List<EngineProgress> engines, Duration elapsed) {
+    int waveSize = (engines.size() + WAVES - 1) / WAVES;
+    long waves = 1 + Math.max(0, elapsed.toMillis()) / BETWEEN_WAVES.toMillis();
+    long allowed = Math.min(engines.size(), waves * waveSize);
+    long begun =
+        engines.stream().filter(engine -> engine.isCurrent() || engine.isSwapping()).count();
+    List<String> next = new ArrayList<>();
+    for (EngineProgress engine : engines) {
+      if (!engine.isCurrent() && !engine.isSwapping() && begun + next.size() < allowed) {
+        next.add(engine.id());
+      }
+    }
+    return next;
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/package-info.java
@@ -0,0 +1,2 @@
+/** The order in which engines take new weights. */
+package org.geraniumwharf.weights;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -107,6 +107,11 @@
     return Optional.ofNullable(weights.get(model));
   }
 
+  /** Returns the newest named version of each model's weights. */
+  public Collection<NamedWeights> namedWeights() {
+    return weights.values();
+  }
+
   public long index() {
     return index;
   }
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
@@ -0,0 +1,64 @@
+package org.geraniumwharf.internal.node;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.internal.relay.TargetCalls;
+import org.geraniumwharf.schema.targets.Announcement;
+
+/** Calls engines and waits for their answers. */
+final class EngineOrders {
+
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final int OK = 200;
+
+  private final OrderProtocol protocol;
+  private final TargetCalls calls;
+
+  EngineOrders(OrderProtocol protocol, TargetCalls calls) {
+    this.protocol = protocol;
+    this.calls = calls;
+  }
+
+  /**
+   * Asks an engine for its state.
+   *
+   * @throws IOException if it does not answer
+   */
+  OrderProtocol.EngineReport report(Announcement engine) throws IOException, InterruptedException {
+    TargetCalls.Reply reply = call(engine, protocol.report(address(engine)));
+    if (reply.status() != OK) {
+      throw new IOException("the report has status " + reply.status());
+    }
+    return protocol
+        .readReport(reply.body())
+        .orElseThrow(() -> new IOException("the report cannot be read"));
+  }
+
+  /**
+   * Gives an order and returns the status of the answer.
+   *
+   * @throws IOException if there is no answer; the order may have been taken
+   */
+  int order(Announcement engine, OrderProtocol.WeightsOrder order)
+      throws IOException, InterruptedException {
+    return call(engine, protocol.order(address(engine), order)).status();
+  }
+
+  private TargetCalls.Reply call(Announcement engine, FullHttpRequest request)
+      throws IOException, InterruptedException {
+    try {
+      return calls
+          .call(ControlDirectory.parseAddress(address(engine)), request, TIMEOUT)
+          .get();
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause().getMessage(), e.getCause());
+    }
+  }
+
+  private static String address(Announcement engine) {
+    return engine.address().substring(engine.address().indexOf("//") + 2);
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeEdges.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeEdges.java
@@ -12,6 +12,9 @@
   /** Returns how relayed requests are written. */
   RelayProtocol relay();
 
+  /** Returns how engines are told to take new weights. */
+  OrderProtocol orders();
+
   /** Returns how cache stores tell what they hold. */
   CacheProtocol cache();
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -30,6 +30,7 @@
 import org.geraniumwharf.internal.http.ApiServer;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.Relay;
+import org.geraniumwharf.internal.relay.TargetCalls;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.internal.transport.PeerNetwork;
@@ -193,9 +194,17 @@
     ControlService service =
         new ControlService(
             settings.peer(), client, membership, holder, registrations, log, clock);
+    startThread(weightsRollout(started, service), "weights-rollout");
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
   }
 
+  private WeightsRollout weightsRollout(ControlInstance started, ControlService service) {
+    EngineOrders orders =
+        new EngineOrders(edges.orders(), TargetCalls.create(loops.next(), edges.relay(), clock));
+    return new WeightsRollout(
+        settings.peer(), started, holder, orders, service, workers, log, clock);
+  }
+
   private ControlOptions options(Path folder) {
     return new ControlOptions(
         settings.peer(),
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -0,0 +1,234 @@
+package org.geraniumwharf.internal.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.control.ControlInstance;
+import org.geraniumwharf.control.Leadership;
+import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.internal.fleet.FleetSnapshot;
+import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.state.TargetRecord;
+import org.geraniumwharf.schema.targets.Announcement;
+import org.geraniumwharf.schema.targets.LoadedWeights;
+import org.geraniumwharf.weights.WavePlanner;
+
+/**
+ * Brings the engines to the weights that operators name, while the local control instance leads. The
+ * term is the fencing number of every order. A new leader first waits until the orders of the one
+ * before are over.
+ */
+final class WeightsRollout implements Runnable {
+
+  private static final Duration ROUND = Duration.ofMillis(100);
+  private static final Duration STEP = Duration.ofMillis(250);
+  private static final Duration LONGEST_SWAP = Duration.ofSeconds(20);
+
+  /** Age of the confirmation by a quorum beyond which a leader gives no order. */
+  private static final Duration MAX_CONFIRMED_AGE = Duration.ofMillis(700);
+
+  private static final Duration REST_OF_NEW_LEADER = Duration.ofSeconds(3);
+
+  private final String self;
+  private final ControlInstance instance;
+  private final FleetViewHolder holder;
+  private final EngineOrders orders;
+  private final ControlService service;
+  private final Executor workers;
+  private final EventLog log;
+  private final InstantSource clock;
+  private final Set<String> swapping = ConcurrentHashMap.newKeySet();
+
+  WeightsRollout(
+      String self,
+      ControlInstance instance,
+      FleetViewHolder holder,
+      EngineOrders orders,
+      ControlService service,
+      Executor workers,
+      EventLog log,
+      InstantSource clock) {
+    this.self = self;
+    this.instance = instance;
+    this.holder = holder;
+    this.orders = orders;
+    this.service = service;
+    this.workers = workers;
+    this.log = log;
+    this.clock = clock;
+  }
+
+  @Override
+  public void run() {
+    try {
+      while (true) {
+        TimeUnit.MILLISECONDS.sleep(ROUND.toMillis());
+        Instant now = clock.instant();
+        leadership(now).ifPresent(leading -> startSwaps(leading, now));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Optional<Leadership> leadership(Instant now) {
+    return instance
+        .leadership(now)
+        .filter(leading -> leading.confirmedAge().compareTo(MAX_CONFIRMED_AGE) < 0)
+        .filter(
+            leading ->
+                leading.isFirst() || !now.isBefore(leading.since().plus(REST_OF_NEW_LEADER)));
+  }
+
+  private void startSwaps(Leadership leading, Instant now) {
+    FleetSnapshot view = holder.current();
+    for (NamedWeights named : view.namedWeights()) {
+      List<WavePlanner.EngineProgress> engines = new ArrayList<>();
+      for (TargetRecord record : view.targets()) {
+        if (isServing(record)) {
+          version(record.announcement(), named.model())
+              .ifPresent(version -> engines.add(progress(record, named, version)));
+        }
+      }
+      Duration elapsed = Duration.between(Instant.ofEpochMilli(named.atMillis()), now);
+      for (String id : WavePlanner.next(engines, elapsed)) {
+        startSwap(view.target(id).orElseThrow().announcement(), named, leading);
+      }
+    }
+  }
+
+  private static boolean isServing(TargetRecord record) {
+    return !record.lapsed() && !record.announcement().leaving();
+  }
+
+  private WavePlanner.EngineProgress progress(
+      TargetRecord record, NamedWeights named, long version) {
+    String id = record.announcement().id();
+    return new WavePlanner.EngineProgress(
+        id, version >= named.version(), swapping.contains(key(id, named)));
+  }
+
+  private static String key(String id, NamedWeights named) {
+    return id + '/' + named.model() + '@' + named.version();
+  }
+
+  /** Returns the version of a model that an engine announces. */
+  static Optional<Long> version(Announcement announcement, String model) {
+    return announcement.loaded().stream()
+        .map(LoadedWeights::modelVersion)
+        .filter(name -> name.startsWith(model + '@'))
+        .map(name -> Long.parseLong(name.substring(model.length() + 1)))
+        .findFirst();
+  }
+
+  private void startSwap(Announcement engine, NamedWeights named, Leadership leading) {
+    String key = key(engine.id(), named);
+    swapping.add(key);
+    log.info(
+        Event.of("weights-swap")
+            .with("target", engine.id())
+            .with("model", named.model())
+            .with("version", named.version())
+            .with("term", leading.term()));
+    workers.execute(
+        () -> {
+          try {
+            swap(engine, named, leading);
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          } finally {
+            swapping.remove(key);
+          }
+        });
+  }
+
+  /** Orders, reads back and orders again until the engine holds the weights. */
+  private void swap(Announcement engine, NamedWeights named, Leadership leading)
+      throws InterruptedException {
+    Instant end = clock.instant().plus(LONGEST_SWAP);
+    while (clock.instant().isBefore(end) && isWanted(engine, named, leading)) {
+      try {
+        OrderProtocol.EngineReport report = orders.report(engine);
+        if (report.versions().getOrDefault(named.model(), 0L) >= named.version()) {
+          announce(engine, named);
+          return;
+        }
+        if (!report.isBusy()) {
+          order(engine, named, leading, report.orders());
+        }
+      } catch (IOException e) {
+        log.info(
+            Event.of("weights-swap-delayed")
+                .with("target", engine.id())
+                .with("cause", e.getMessage()));
+      }
+      TimeUnit.MILLISECONDS.sleep(STEP.toMillis());
+    }
+  }
+
+  private boolean isWanted(Announcement engine, NamedWeights named, Leadership leading) {
+    Optional<TargetRecord> record = holder.current().target(engine.id());
+    boolean isSameStart =
+        record.isPresent()
+            && isServing(record.get())
+            && record.get().announcement().incarnation() == engine.incarnation();
+    boolean isNewest =
+        holder.current().namedWeights(named.model()).filter(named::equals).isPresent();
+    boolean isLeading =
+        leadership(clock.instant()).filter(now -> now.term() == leading.term()).isPresent();
+    return isSameStart && isNewest && isLeading;
+  }
+
+  private void order(
+      Announcement engine, NamedWeights named, Leadership leading, long expectedOrders)
+      throws IOException {
+    int status =
+        orders.order(
+            engine,
+            new OrderProtocol.WeightsOrder(
+                engine.id(),
+                named.model(),
+                named.version(),
+                self,
+                leading.term(),
+                expectedOrders));
+    log.info(
+        Event.of("weights-ordered")
+            .with("target", engine.id())
+            .with("model", named.model())
+            .with("version", named.version())
+            .with("fence", leading.term())
+            .with("expectedOrders", expectedOrders)
+            .with("status", status));
+  }
+
+  /** Tells the fleet at once, ahead of the engine's own next heartbeat. */
+  private void announce(Announcement engine, NamedWeights named) {
+    Announcement newest =
+        holder.current().target(engine.id()).map(TargetRecord::announcement).orElse(engine);
+    List<LoadedWeights> loaded = new ArrayList<>();
+    for (LoadedWeights weights : newest.loaded()) {
+      boolean isSwapped = weights.modelVersion().startsWith(named.model() + '@');
+      loaded.add(
+          isSwapped
+              ? weights.withModelVersion(named.model() + '@' + named.version())
+              : weights);
+    }
+    try {
+      service.announce(newest.withLoaded(loaded).withSequence(newest.sequence() + 1));
+    } catch (ServingException e) {
+      log.info(Event.of("weights-untold").with("target", engine.id()).with("cause", e.getMessage()));
+    }
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -51,8 +51,7 @@
     RelayServer server = new RelayServer(front, loops);
     server.start(address);
     EventLoop loop = loops.next();
-    TargetConnections connections = new TargetConnections(loop, protocol, clock);
-    front.followStores(cache, new TargetCalls(loop, connections), loop, holder);
+    front.followStores(cache, TargetCalls.create(loop, protocol, clock), loop, holder);
     return new Relay(server);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -290,6 +290,7 @@
 
   /** The target says that it did not run the request. */
   void notRun(TargetCall ended, int status) {
+    front.load().refused(ended.target().id(), front.now());
     if (!endCall(ended)) {
       return;
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCalls.java
@@ -9,33 +9,39 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /** Calls with small whole answers to targets and stores, on one event loop. */
-final class TargetCalls {
+public final class TargetCalls {
 
   private static final int MAX_ANSWER_BYTES = 4 << 20;
 
   private final EventLoop loop;
   private final TargetConnections connections;
 
-  TargetCalls(EventLoop loop, TargetConnections connections) {
+  private TargetCalls(EventLoop loop, TargetConnections connections) {
     this.loop = loop;
     this.connections = connections;
   }
 
+  /** Creates calls over connections of their own. */
+  public static TargetCalls create(EventLoop loop, RelayProtocol protocol, InstantSource clock) {
+    return new TargetCalls(loop, new TargetConnections(loop, protocol, clock));
+  }
+
   /**
    * The answer to a call.
    *
    * @param status HTTP status
    * @param body body, not pooled
    */
-  record Reply(int status, ByteBuf body) {}
+  public record Reply(int status, ByteBuf body) {}
 
   /** Sends a call; the future completes on the event loop. */
-  CompletableFuture<Reply> call(
+  public CompletableFuture<Reply> call(
       InetSocketAddress address, FullHttpRequest request, Duration timeout) {
     CompletableFuture<Reply> reply = new CompletableFuture<>();
     loop.execute(() -> start(address, request, timeout, reply));
