--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -94,12 +94,14 @@
       return Optional.empty();
     }
     double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens, instances) : plain(load);
+    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens, instances) : plain(work, target, load);
     return Optional.of(new Choice(target, cost, load.keptTokens(), storedTokens, load.inFlight()));
   }
 
-  private static double plain(RelayLoadTable.Load load) {
-    return load.inFlight() * MILLIS_PER_PLAIN;
+  /** Equal targets are taken in turn by a hash of the request. */
+  private static double plain(RelayWork work, RelayTarget target, RelayLoadTable.Load load) {
+    double turn = RendezvousHash.fraction(weight(work.request().id(), target.id()));
+    return load.inFlight() * MILLIS_PER_PLAIN + turn;
   }
 
   private static double generation(
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TransferPlannerTest.java
@@ -0,0 +1,86 @@
+package org.geraniumwharf.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.geraniumwharf.schema.objects.CacheStore;
+import org.junit.jupiter.api.Test;
+
+class TransferPlannerTest {
+
+  private static final String SCOPE = "v1";
+  private static final CacheStore SMALL = store("small", "10.0.0.8:80", 10_000);
+  private static final CacheStore LARGE = store("large", "10.0.0.9:80", 1_000_000);
+  private static final PromptPart CONTEXT = new PromptPart("context", 8000);
+  private static final PromptPart OWN = new PromptPart("own", 2000);
+  private static final RelayWork DRAFT = Works.generation(CONTEXT, OWN);
+
+  private final StoredParts stored = StoredParts.create();
+  private final TransferPlanner planner = TransferPlanner.of(stored);
+
+  @Test
+  void should_save_what_others_share_and_nothing_else() {
+    CacheTransfers transfers = plan(LARGE);
+
+    assertEquals(List.of(Optional.of(LARGE.address()), Optional.empty()), transfers.save());
+    assertEquals(List.of(Optional.empty(), Optional.empty()), transfers.fetch());
+  }
+
+  @Test
+  void should_not_save_a_part_again_while_the_store_may_still_report_it() {
+    plan(LARGE);
+
+    assertTrue(plan(LARGE).save().stream().allMatch(Optional::isEmpty));
+  }
+
+  @Test
+  void should_fetch_only_what_a_store_reported_as_whole() {
+    plan(LARGE);
+    assertTrue(plan(LARGE).fetch().stream().allMatch(Optional::isEmpty));
+
+    stored.added("large", SCOPE, "context", 8000);
+
+    assertEquals(Optional.of(LARGE.address()), plan(LARGE).fetch().get(0));
+    assertEquals(8000, planner.storedTokens(DRAFT, List.of(LARGE), SCOPE));
+  }
+
+  @Test
+  void should_not_fetch_what_was_kept_under_another_scope() {
+    stored.added("large", "v2", "context", 8000);
+
+    assertTrue(plan(LARGE).fetch().stream().allMatch(Optional::isEmpty));
+  }
+
+  @Test
+  void should_not_fetch_from_a_store_that_does_not_answer() {
+    stored.added("large", SCOPE, "context", 8000);
+
+    assertTrue(plan(SMALL).fetch().stream().allMatch(Optional::isEmpty));
+  }
+
+  @Test
+  void should_not_save_at_a_store_without_room() {
+    stored.added("small", SCOPE, "other", 5000);
+
+    assertTrue(plan(SMALL).save().stream().allMatch(Optional::isEmpty));
+  }
+
+  @Test
+  void should_forget_what_a_store_held_before_it_started_again() {
+    stored.added("large", SCOPE, "context", 8000);
+    stored.forget("large");
+
+    assertTrue(plan(LARGE).fetch().stream().allMatch(Optional::isEmpty));
+    assertEquals(0, stored.tokensAt("large"));
+  }
+
+  private CacheTransfers plan(CacheStore store) {
+    return planner.plan(DRAFT, List.of(store), SCOPE, Works.NOW);
+  }
+
+  private static CacheStore store(String name, String address, long tokens) {
+    return CacheStore.of(name, address, "dc-1", tokens, 590_000, 1, true);
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/Works.java
@@ -0,0 +1,117 @@
+package org.geraniumwharf.relay;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumwharf.schema.objects.EngineCapacity;
+import org.geraniumwharf.schema.objects.Execution;
+import org.geraniumwharf.schema.objects.Organisation;
+import org.geraniumwharf.schema.objects.RelayRoute;
+import org.geraniumwharf.schema.objects.RelayService;
+import org.geraniumwharf.schema.objects.RouteSplit;
+
+/** Requests for tests. */
+final class Works {
+
+  static final Instant NOW = Instant.ofEpochSecond(1000);
+  private static final int SLOTS = 48;
+  private static final long CACHE_TOKENS = 100_000;
+
+  private Works() {}
+
+  static RelayRoute route(String name, String prefix, Execution execution, int priority) {
+    return RelayRoute.of(
+        name,
+        "quotes.example",
+        prefix,
+        List.of(RouteSplit.of("engines", 1)),
+        execution,
+        false,
+        true,
+        false,
+        10_000,
+        600,
+        Optional.empty(),
+        priority,
+        2);
+  }
+
+  static RelayWork plain(Execution execution) {
+    RelayService service = RelayService.of("bookings", Optional.empty(), 96, Optional.empty());
+    return work(service, execution, List.of(), Optional.empty());
+  }
+
+  static RelayWork plain(String requestId) {
+    RelayWork work = plain(Execution.IDEMPOTENT);
+    RelayRequest request = work.request();
+    RelayRequest renamed =
+        new RelayRequest(
+            requestId,
+            request.method(),
+            request.host(),
+            request.path(),
+            request.key(),
+            request.patience(),
+            request.model(),
+            request.prompt(),
+            request.promptTokens(),
+            request.outputTokens(),
+            request.lastEventId(),
+            request.arrivedAt());
+    return new RelayWork(
+        renamed, work.route(), work.service(), work.organisation(), work.deadline());
+  }
+
+  static RelayWork generation(PromptPart... parts) {
+    return generation(Optional.empty(), parts);
+  }
+
+  static RelayWork generation(Optional<Organisation> owner, PromptPart... parts) {
+    EngineCapacity engine =
+        EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
+    RelayService service =
+        RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
+    return work(service, Execution.STREAM, List.of(parts), owner);
+  }
+
+  static Organisation organisation(String name, boolean isIsolated) {
+    return Organisation.of(
+        name,
+        List.of(),
+        List.of(),
+        1,
+        Optional.empty(),
+        List.of(RelayTable.digestOf("key-of-" + name)),
+        Optional.empty(),
+        isIsolated);
+  }
+
+  private static RelayWork work(
+      RelayService service,
+      Execution execution,
+      List<PromptPart> parts,
+      Optional<Organisation> owner) {
+    int tokens = parts.stream().mapToInt(PromptPart::tokens).sum();
+    RelayRequest request =
+        new RelayRequest(
+            "request-1",
+            "POST",
+            "quotes.example",
+            "/drafts/1",
+            Optional.empty(),
+            Optional.of(Duration.ofSeconds(8)),
+            Optional.of("m"),
+            parts,
+            tokens,
+            100,
+            Optional.empty(),
+            NOW);
+    return new RelayWork(
+        request, route("drafts", "/drafts/", execution, 0), service, owner, NOW.plusSeconds(8));
+  }
+
+  static RelayTarget target(String id) {
+    return new RelayTarget(id, "10.0.0.1:80", "dc-1", SLOTS, 1);
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -192,7 +192,7 @@
 
   private void order(
       Announcement engine, NamedWeights named, Leadership leading, long expectedOrders)
-      throws IOException {
+      throws IOException, InterruptedException {
     int status =
         orders.order(
             engine,
