--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -139,7 +139,8 @@
             options.name(),
             core.term(),
             duties.liveEntryInstances(now),
-            duties.shares(heartbeat, now)));
+            duties.shares(heartbeat, now),
+            duties.workOfOthers(heartbeat.daemon().name(), now)));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -17,6 +17,7 @@
 import org.geraniumwharf.schema.messages.HeartbeatCall;
 import org.geraniumwharf.schema.messages.OrganisationShare;
 import org.geraniumwharf.schema.messages.TargetRenewal;
+import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.state.AnnounceCommand;
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.DoubtRunsCommand;
@@ -63,7 +64,8 @@
   /** Takes a heartbeat and returns what must be recorded of it. */
   List<Command> heartbeat(HeartbeatCall call, ControlState state, Instant now) {
     if (!isOlderStart(call.daemon())) {
-      daemons.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
+      daemons.put(
+          call.daemon().name(), new DaemonLease(call.daemon(), call.targetWork(), now));
     }
     List<Command> commands = new ArrayList<>();
     for (TargetRenewal renewal : call.renewals()) {
@@ -181,6 +183,22 @@
     }
   }
 
+  /** Returns the relayed work that all live daemons but one have under way, by target. */
+  List<TargetWork> workOfOthers(String daemon, Instant now) {
+    Map<String, TargetWork> total = new HashMap<>();
+    for (DaemonLease lease : daemons.values()) {
+      if (isLive(lease, now) && !lease.status().name().equals(daemon)) {
+        lease.work().forEach(work -> total.merge(work.target(), work, LeaderDuties::sum));
+      }
+    }
+    return List.copyOf(total.values());
+  }
+
+  private static TargetWork sum(TargetWork one, TargetWork other) {
+    return TargetWork.of(
+        one.target(), one.requests() + other.requests(), one.tokens() + other.tokens());
+  }
+
   List<DaemonStatus> liveDaemons(Instant now) {
     return daemons.values().stream()
         .filter(lease -> isLive(lease, now))
@@ -202,5 +220,5 @@
 
   private record TargetLease(long incarnation, long sequence, Instant seen) {}
 
-  private record DaemonLease(DaemonStatus status, Instant seen) {}
+  private record DaemonLease(DaemonStatus status, List<TargetWork> work, Instant seen) {}
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -1,10 +1,13 @@
 package org.geraniumwharf.relay;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
  * What this instance has under way at each target, and how the targets answered lately. Safe for use
@@ -12,7 +15,14 @@
  */
 public final class RelayLoadTable {
 
+  /** Time for which the others' work is a better guess than none. */
+  private static final Duration VALIDITY = Duration.ofMillis(1500);
+
+  private static final TargetWork NO_WORK = TargetWork.of("", 0, 0);
+
   private final Map<String, Entry> entries = new HashMap<>();
+  private final Map<String, TargetWork> ofOthers = new HashMap<>();
+  private Instant toldUntil = Instant.MIN;
 
   private RelayLoadTable() {}
 
@@ -21,16 +31,23 @@
   }
 
   /**
-   * Load of one target as this instance sees it.
+   * Load of one target.
    *
-   * @param inFlight requests that this instance has under way there
+   * @param inFlight requests of all instances that are under way there, as far as they have told
    * @param footprint tokens that they occupy
+   * @param isTold whether the other instances told of their work lately; otherwise only this
+   *     instance's own is counted
    * @param keptTokens tokens of the prompt that the target probably keeps
    * @param isResting whether it gets no work because it failed lately
    * @param restsUntil end of that rest
    */
   public record Load(
-      int inFlight, long footprint, int keptTokens, boolean isResting, Instant restsUntil) {}
+      int inFlight,
+      long footprint,
+      boolean isTold,
+      int keptTokens,
+      boolean isResting,
+      Instant restsUntil) {}
 
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, RelayWork work, Instant now) {
@@ -39,14 +56,36 @@
         work.isGeneration()
             ? entry.parts.keptTokens(work.cacheScope(target), work.request().prompt())
             : 0;
+    boolean isTold = now.isBefore(toldUntil);
+    TargetWork others = isTold ? ofOthers.getOrDefault(target.id(), NO_WORK) : NO_WORK;
     return new Load(
-        entry.inFlight,
-        entry.footprint,
+        entry.inFlight + others.requests(),
+        entry.footprint + others.tokens(),
+        isTold,
         kept,
         entry.health.isResting(now),
         entry.health.restsUntil());
   }
 
+  /** Returns the work of this instance, to be told to the others. */
+  public synchronized List<TargetWork> own() {
+    List<TargetWork> own = new ArrayList<>();
+    entries.forEach(
+        (target, entry) -> {
+          if (entry.inFlight > 0) {
+            own.add(TargetWork.of(target, entry.inFlight, entry.footprint));
+          }
+        });
+    return own;
+  }
+
+  /** Takes the work of all other instances together. */
+  public synchronized void others(List<TargetWork> work, Instant now) {
+    ofOthers.clear();
+    work.forEach(told -> ofOthers.put(told.target(), told));
+    toldUntil = now.plus(VALIDITY);
+  }
+
   /** Counts a request that is being sent; its prompt will be kept there. */
   public synchronized void sent(RelayTarget target, RelayWork work) {
     Entry entry = entry(target.id());
@@ -95,11 +134,6 @@
         .removeIf(entry -> entry.getValue().inFlight == 0 && !targets.contains(entry.getKey()));
   }
 
-  /** Returns the requests under way at some targets together. */
-  public synchronized int inFlight(List<String> targets) {
-    return targets.stream().mapToInt(name -> entry(name).inFlight).sum();
-  }
-
   private Entry entry(String target) {
     return entries.computeIfAbsent(target, name -> new Entry());
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -10,8 +10,7 @@
 
 /**
  * Chooses the target of a request by the estimated time until it answers: prompt that has to be read
- * there, and the work of this instance that is already there, taken to be a fair sample of the work
- * of all instances. Requests with a context that no target is known to keep go to the home that a
+ * there, and the work that is already there. Requests with a context that no target is known to keep go to the home that a
  * hash of the context names, so that instances agree without talking.
  */
 public final class RelayPlacement {
@@ -20,17 +19,16 @@
   private static final double FETCHED_TOKENS_PER_MILLI = 240;
 
   /** Time that one more running request costs another, ms. */
-  private static final double MILLIS_PER_RUNNING = 6;
+  private static final double MILLIS_PER_RUNNING = 3;
 
   private static final double MILLIS_PER_PLAIN = 20;
 
   /** Share of a context that its home is expected to keep although this instance never sent it. */
   private static final double HOME_EXPECTATION = 0.6;
 
-  /** Share of the memory of an engine above which requests are likely to be preempted. */
-  private static final double CROWDED = 0.8;
+  /** Time that a request loses at an engine whose whole memory is occupied, ms. */
+  private static final double MILLIS_PER_FILLING = 300;
 
-  private static final double CROWDED_MILLIS = 2000;
   private static final double OTHER_DATA_CENTRE_MILLIS = 2;
 
   private final String dataCentre;
@@ -90,11 +88,11 @@
       RelayLoadTable.Load load,
       int storedTokens,
       int instances) {
-    if (load.isResting() || load.inFlight() >= RelayShare.of(work, target, instances)) {
+    if (load.isResting() || !RelayShare.hasRoom(work, target, load, instances)) {
       return Optional.empty();
     }
     double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens, instances) : plain(work, target, load);
+    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens) : plain(work, target, load);
     return Optional.of(new Choice(target, cost, load.keptTokens(), storedTokens, load.inFlight()));
   }
 
@@ -109,8 +107,7 @@
       RelayTarget target,
       String home,
       RelayLoadTable.Load load,
-      int storedTokens,
-      int instances) {
+      int storedTokens) {
     double fetched = Math.max(0, storedTokens - load.keptTokens());
     double missing = work.request().promptTokens() - load.keptTokens() - fetched;
     if (target.id().equals(home)) {
@@ -119,16 +116,9 @@
       missing -= HOME_EXPECTATION * Math.max(0, shared - known);
     }
     double cost = missing / PREFILL_TOKENS_PER_MILLI + fetched / FETCHED_TOKENS_PER_MILLI;
-    cost += load.inFlight() * MILLIS_PER_RUNNING * instances / 2;
-    return cost + crowding(work, load, instances);
-  }
-
-  /** Memory that runs out costs preemptions, which read whole prompts again. */
-  private static double crowding(RelayWork work, RelayLoadTable.Load load, int instances) {
+    cost += load.inFlight() * MILLIS_PER_RUNNING;
     EngineCapacity engine = work.service().engine().orElseThrow();
-    double expected = (double) load.footprint() * instances / 2 + work.footprint();
-    double used = expected / engine.cacheTokens();
-    return used <= CROWDED ? 0 : (used - CROWDED) * CROWDED_MILLIS;
+    return cost + MILLIS_PER_FILLING * load.footprint() / engine.cacheTokens();
   }
 
   private static String home(RelayWork work, List<RelayTarget> targets) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayShare.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayShare.java
@@ -1,22 +1,52 @@
 package org.geraniumwharf.relay;
 
+import org.geraniumwharf.schema.objects.EngineCapacity;
+
 /**
- * Most requests that one instance keeps at one target, so that a crest waits in queues that know
- * ranks and deadlines and not in the targets' own.
+ * Whether a target has room for a request, so that a crest waits in queues that know ranks and
+ * deadlines and not at the targets. An engine whose memory runs out preempts what it runs and reads
+ * it again; large requests therefore leave a part of its memory to small ones, which come in short
+ * bursts.
  */
-public final class RelayShare {
+final class RelayShare {
 
-  /** Requests of all instances together that a target is given, relative to its slots. */
+  /** Requests that a plain target is given, relative to its slots; the rest waits in its queue. */
   private static final int OVERCOMMIT = 2;
 
-  private static final int SMALLEST = 6;
   private static final int DEFAULT_SLOTS = 8;
 
+  /** Fewest requests that an instance may have at a target while it does not know the others'. */
+  private static final int SMALLEST_SHARE = 4;
+
+  /** Part of an engine's memory that large requests may fill, and that small ones may. */
+  private static final double LARGE_FILLING = 0.85;
+
+  private static final double SMALL_FILLING = 1.0;
+
+  /** Part of an engine's memory up to which a request is small. */
+  private static final double SMALL_REQUEST = 0.04;
+
   private RelayShare() {}
 
-  static int of(RelayWork work, RelayTarget target, int instances) {
+  static boolean hasRoom(
+      RelayWork work, RelayTarget target, RelayLoadTable.Load load, int instances) {
+    int most = OVERCOMMIT * slots(work, target);
+    int mostHere = load.isTold() ? most : Math.max(SMALLEST_SHARE, most / Math.max(1, instances));
+    return load.inFlight() < mostHere && hasMemory(work, load, instances);
+  }
+
+  private static int slots(RelayWork work, RelayTarget target) {
     int announced = target.slots() > 0 ? target.slots() : DEFAULT_SLOTS;
-    int slots = work.service().engine().map(engine -> engine.slots()).orElse(announced);
-    return Math.max(SMALLEST, OVERCOMMIT * slots / Math.max(1, instances));
+    return work.service().engine().map(EngineCapacity::slots).orElse(announced);
+  }
+
+  private static boolean hasMemory(RelayWork work, RelayLoadTable.Load load, int instances) {
+    if (!work.isGeneration() || load.inFlight() == 0) {
+      return true;
+    }
+    long tokens = work.service().engine().orElseThrow().cacheTokens();
+    double occupied = load.footprint() * (load.isTold() ? 1.0 : instances / 2.0);
+    boolean isSmall = work.footprint() < SMALL_REQUEST * tokens;
+    return occupied + work.footprint() <= (isSmall ? SMALL_FILLING : LARGE_FILLING) * tokens;
   }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.objects.Execution;
 import org.junit.jupiter.api.Test;
 
@@ -58,6 +59,29 @@
     assertNotEquals(home, choose(DRAFT).orElseThrow().target());
   }
 
+  @Test
+  void should_count_what_other_instances_told_and_forget_it_in_time() {
+    RelayTarget home = choose(DRAFT).orElseThrow().target();
+    load.others(List.of(TargetWork.of(home.id(), 8, 84_000)), Works.NOW);
+
+    assertNotEquals(home, choose(DRAFT).orElseThrow().target());
+    assertEquals(
+        0, load.load(home, DRAFT, Works.NOW.plusSeconds(2)).footprint());
+  }
+
+  @Test
+  void should_keep_memory_free_for_small_requests() {
+    RelayWork small = Works.generation(COMMON, new PromptPart("short", 200));
+    for (RelayTarget target : TARGETS) {
+      load.others(
+          TARGETS.stream().map(each -> TargetWork.of(each.id(), 8, 80_000)).toList(), Works.NOW);
+      assertTrue(load.load(target, DRAFT, Works.NOW).isTold());
+    }
+
+    assertTrue(choose(DRAFT).isEmpty());
+    assertTrue(choose(small).isPresent());
+  }
+
   @Test
   void should_spread_plain_work_over_targets() {
     RelayWork work = Works.plain(Execution.IDEMPOTENT);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -18,6 +18,7 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.OrderDelivery;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
+import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.logging.EventHistory;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
@@ -176,6 +177,7 @@
         Duration.ofMillis(settings.control().daemonLeaseMillis()),
         limiter,
         work,
+        WorkExchange.none(),
         log,
         clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -33,6 +33,7 @@
    * @param isEntry whether it takes requests of callers
    * @param lease time without a fresh view after which the daemon stops serving
    * @param work work in flight, told to the leader
+   * @param exchange relayed work, told to the other daemons
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
@@ -46,6 +47,7 @@
       Duration lease,
       OrganisationLimiter limiter,
       DeploymentWork work,
+      WorkExchange exchange,
       EventLog log,
       InstantSource clock) {
     ControlReachability reachability = new ControlReachability(directory.names().size());
@@ -55,7 +57,17 @@
             identity.name(), directory, links, client, holder, readiness, reachability, log, clock);
     HeartbeatSender heartbeats =
         new HeartbeatSender(
-            identity, isEntry, client, holder, readiness, registrations, limiter, work, log, clock);
+            identity,
+            isEntry,
+            client,
+            holder,
+            readiness,
+            registrations,
+            limiter,
+            work,
+            exchange,
+            log,
+            clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.admission.OrganisationLimiter;
@@ -12,11 +13,16 @@
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.TargetWork;
 
 /** Tells the leader that this daemon and its targets live, twice a second and on changes. */
 public final class HeartbeatSender implements Runnable {
 
   private static final Duration INTERVAL = Duration.ofMillis(500);
+
+  /** Time between heartbeats while relayed work is under way, which the others place by. */
+  private static final Duration WORKING_INTERVAL = Duration.ofMillis(150);
+
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
   private final DaemonStatus identity;
@@ -27,6 +33,7 @@
   private final TargetRegistrations registrations;
   private final OrganisationLimiter limiter;
   private final DeploymentWork work;
+  private final WorkExchange exchange;
   private final EventLog log;
   private final InstantSource clock;
   private final Semaphore changes = new Semaphore(0);
@@ -40,6 +47,7 @@
       TargetRegistrations registrations,
       OrganisationLimiter limiter,
       DeploymentWork work,
+      WorkExchange exchange,
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
@@ -50,6 +58,7 @@
     this.registrations = registrations;
     this.limiter = limiter;
     this.work = work;
+    this.exchange = exchange;
     this.log = log;
     this.clock = clock;
   }
@@ -65,8 +74,10 @@
   public void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        send();
-        boolean isEarly = changes.tryAcquire(INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        List<TargetWork> relayed = exchange.own();
+        send(relayed);
+        Duration interval = relayed.isEmpty() ? INTERVAL : WORKING_INTERVAL;
+        boolean isEarly = changes.tryAcquire(interval.toMillis(), TimeUnit.MILLISECONDS);
         if (isEarly) {
           changes.drainPermits();
         }
@@ -76,7 +87,7 @@
     }
   }
 
-  private void send() {
+  private void send(List<TargetWork> relayed) {
     Instant now = clock.instant();
     FleetSnapshot view = holder.current();
     TargetRegistrations.Report report = registrations.takeReport(view, now);
@@ -94,10 +105,12 @@
                   report.announcements(),
                   report.renewals(),
                   limiter.takeDemands(now),
-                  work.demands()),
+                  work.demands(),
+                  relayed),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
+      exchange.others(answer.targetWork(), clock.instant());
       if (answer.entryInstances() > 0) {
         limiter.answered(answer.entryInstances(), answer.shares(), clock.instant());
       }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -27,6 +28,7 @@
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
+import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.http.ApiServer;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.Relay;
@@ -38,8 +40,10 @@
 import org.geraniumwharf.internal.transport.Sockets;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.PeerMessage;
+import org.geraniumwharf.schema.messages.TargetWork;
 
 /** One process of a relaying fleet: starts its parts in order and shuts them down gracefully. */
 public final class NodeRuntime {
@@ -84,6 +88,7 @@
   private final FleetViewHolder holder = FleetViewHolder.create();
   private final TargetRegistrations registrations = TargetRegistrations.create(TARGET_LEASE);
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
+  private final RelayLoadTable load = RelayLoadTable.create();
   private final FleetMembership membership;
   private Optional<ControlInstances.OpenedControl> opened = Optional.empty();
   private Optional<ControlInstance> instance = Optional.empty();
@@ -117,6 +122,7 @@
             VIEW_LEASE,
             limiter,
             DeploymentWork.create(),
+            settings.isEntry() ? workExchange() : WorkExchange.none(),
             log,
             clock);
   }
@@ -131,6 +137,20 @@
     return new NodeRuntime(settings, edges, log, clock);
   }
 
+  private WorkExchange workExchange() {
+    return new WorkExchange() {
+      @Override
+      public List<TargetWork> own() {
+        return load.own();
+      }
+
+      @Override
+      public void others(List<TargetWork> work, Instant now) {
+        load.others(work, now);
+      }
+    };
+  }
+
   private DaemonStatus identity() {
     return DaemonStatus.of(
         settings.peer(),
@@ -230,6 +250,7 @@
             edges.relay(),
             edges.cache(),
             rules,
+            load,
             limiter::entryInstances,
             loops,
             ControlDirectory.parseAddress(settings.entry().orElseThrow()),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -9,6 +9,7 @@
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.RelayLoadTable;
 
 /** A running relay. */
 public final class Relay {
@@ -31,6 +32,7 @@
   /**
    * Starts to accept callers.
    *
+   * @param load work at the targets, which the instances tell each other
    * @param instances live entry instances, this one among them
    */
   public static Relay start(
@@ -39,6 +41,7 @@
       RelayProtocol protocol,
       CacheProtocol cache,
       Rules rules,
+      RelayLoadTable load,
       IntSupplier instances,
       EventLoopGroup loops,
       InetSocketAddress address,
@@ -47,7 +50,8 @@
       InstantSource clock)
       throws InterruptedException {
     RelayFront front =
-        RelayFront.create(holder, readiness, protocol, rules, instances, metrics, log, clock);
+        RelayFront.create(
+            holder, readiness, protocol, rules, load, instances, metrics, log, clock);
     RelayServer server = new RelayServer(front, loops);
     server.start(address);
     EventLoop loop = loops.next();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -34,7 +34,7 @@
   private final RelayAdmission admission;
   private final RelayProtocol protocol;
   private final RelayPlacement placement;
-  private final RelayLoadTable load = RelayLoadTable.create();
+  private final RelayLoadTable load;
   private final Relay.Rules rules;
   private final IntSupplier instances;
   private final DaemonMetrics metrics;
@@ -51,10 +51,12 @@
       RelayAdmission admission,
       RelayProtocol protocol,
       Relay.Rules rules,
+      RelayLoadTable load,
       IntSupplier instances,
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
+    this.load = load;
     this.admission = admission;
     this.protocol = protocol;
     this.placement = RelayPlacement.in(rules.dataCentre());
@@ -75,13 +77,14 @@
       Readiness readiness,
       RelayProtocol protocol,
       Relay.Rules rules,
+      RelayLoadTable load,
       IntSupplier instances,
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
     RelayAdmission admission = RelayAdmission.create(holder, readiness);
     RelayFront front =
-        new RelayFront(admission, protocol, rules, instances, metrics, log, clock);
+        new RelayFront(admission, protocol, rules, load, instances, metrics, log, clock);
     holder.onChange(
         (before, after) -> {
           front.load.retain(admission.targets().ids());
