--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/retry/RetryBudget.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/retry/RetryBudget.java
@@ -9,7 +9,7 @@
 public final class RetryBudget {
 
   private final double share;
-  private final double reserve;
+  private double reserve;
   private double balance;
 
   private RetryBudget(double share, double reserve) {
@@ -29,6 +29,15 @@
         Checks.checkPositive(share, "share"), Checks.checkPositive(reserve, "reserve"));
   }
 
+  /**
+   * Changes how many retries can be saved up, as when the number of instances that share a budget
+   * changes. What was saved beyond that is lost; a larger reserve fills as first attempts come.
+   */
+  public synchronized void limitTo(double newReserve) {
+    reserve = Checks.checkPositive(newReserve, "reserve");
+    balance = Math.min(balance, reserve);
+  }
+
   /** Counts a first attempt. */
   public synchronized void deposit() {
     balance = Math.min(reserve, balance + share);
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/retry/RetryBudgetTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/retry/RetryBudgetTest.java
@@ -33,4 +33,25 @@
       }
     }
   }
+
+  @Test
+  void should_lose_what_was_saved_beyond_a_smaller_reserve() {
+    RetryBudget budget = RetryBudget.of(0.2, 10);
+
+    budget.limitTo(2);
+
+    assertTrue(budget.tryWithdraw());
+    assertTrue(budget.tryWithdraw());
+    assertFalse(budget.tryWithdraw());
+  }
+
+  @Test
+  void should_not_give_retries_for_a_larger_reserve_at_once() {
+    RetryBudget budget = RetryBudget.of(0.2, 1);
+    assertTrue(budget.tryWithdraw());
+
+    budget.limitTo(50);
+
+    assertFalse(budget.tryWithdraw());
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -30,6 +30,7 @@
 final class RelayFront {
 
   private static final int WOKEN_AT_ONCE = 8;
+  private static final int UNKNOWN_SHARERS = 32;
 
   private final RelayAdmission admission;
   private final RelayProtocol protocol;
@@ -131,12 +132,18 @@
 
   /** Returns this instance's part of the budget of repeats for a service. */
   RetryBudget budget(RelayWork work) {
-    return budgets.computeIfAbsent(
-        work.service().name(),
-        name ->
-            RetryBudget.of(
-                rules.retryShare(),
-                Math.max(1, rules.retryReserve() / Math.max(1, instances.getAsInt()))));
+    double reserve = Math.max(1, rules.retryReserve() / sharers());
+    RetryBudget budget =
+        budgets.computeIfAbsent(
+            work.service().name(), name -> RetryBudget.of(rules.retryShare(), reserve));
+    budget.limitTo(reserve);
+    return budget;
+  }
+
+  /** An instance that does not know of any other spends as if there were many. */
+  private int sharers() {
+    int known = instances.getAsInt();
+    return known > 1 ? known : UNKNOWN_SHARERS;
   }
 
   Optional<RelayPlacement.Choice> choose(RelayWork work, Set<String> tried, Instant now) {
