--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
@@ -162,8 +162,7 @@
    * Returns a silent member that can be removed: a learner, or a voter beyond those wanted, as long
    * as the voters that are current stay a quorum of the rest.
    */
-  Optional<String> replaceable(
-      Membership membership, long commit, MemberRules rules, Instant now) {
+  Optional<String> replaceable(Membership membership, long commit, MemberRules rules, Instant now) {
     Optional<String> learner =
         membership.learners().stream().filter(name -> isSilent(name, rules, now)).findFirst();
     if (learner.isPresent()) {
@@ -198,8 +197,7 @@
   }
 
   boolean isEveryVoterCurrent(Membership membership, long commit, Instant now) {
-    return membership.voters().stream()
-        .allMatch(voter -> isCurrent(voter, commit, now));
+    return membership.voters().stream().allMatch(voter -> isCurrent(voter, commit, now));
   }
 
   boolean isResponsive(String name, Instant now) {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MemberRules.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MemberRules.java
@@ -20,7 +20,9 @@
     return new MemberRules(1, 0, SILENCE);
   }
 
-  /** The leader replaces silent instances, and what is committed survives so many losses at once. */
+  /**
+   * The leader replaces silent instances, and what is committed survives so many losses at once.
+   */
   public static MemberRules tolerating(int losses) {
     return new MemberRules(losses + 1, 2 * losses + 1, SILENCE);
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -163,9 +163,7 @@
         PublishCommand.of(
             publish.publishId(),
             publish.operator(),
-            publish.version().isPresent()
-                ? state.configuration().version()
-                : publish.baseVersion(),
+            publish.version().isPresent() ? state.configuration().version() : publish.baseVersion(),
             Configuration.digestOf(publish.objects()),
             difference.upserts(),
             difference.removals(),
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -64,8 +64,7 @@
   /** Takes a heartbeat and returns what must be recorded of it. */
   List<Command> heartbeat(HeartbeatCall call, ControlState state, Instant now) {
     if (!isOlderStart(call.daemon())) {
-      daemons.put(
-          call.daemon().name(), new DaemonLease(call.daemon(), call.targetWork(), now));
+      daemons.put(call.daemon().name(), new DaemonLease(call.daemon(), call.targetWork(), now));
     }
     List<Command> commands = new ArrayList<>();
     for (TargetRenewal renewal : call.renewals()) {
@@ -111,7 +110,7 @@
       return true;
     }
     Announcement current = known.get().announcement();
-    return AnnouncementOrder.isNews(announcement, current)
+    return AnnouncementOrder.isNewer(announcement, current)
         && !AnnouncementOrder.isSameContent(announcement, current);
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -67,7 +67,8 @@
   /** Tells every watcher how fresh its view is. */
   void fresh(long appliedIndex, long ageMillis) {
     index = appliedIndex;
-    watchers.removeIf(sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis, members.get())));
+    watchers.removeIf(
+        sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis, members.get())));
     admitWaiting(ageMillis);
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
@@ -125,8 +125,8 @@
     List<RolloutRecord> opened = rollouts.published(earlier, configuration(), command.atMillis());
     return new Applied(
         Optional.of(answer),
-        Optional.of(change(
-                before, command.upserts(), command.removals(), List.of(), opened, List.of())));
+        Optional.of(
+            change(before, command.upserts(), command.removals(), List.of(), opened, List.of())));
   }
 
   private Applied applyAnnounce(long before, Announcement announcement) {
@@ -208,8 +208,7 @@
     Optional<NamedWeights> changed = weights.name(named);
     Optional<ViewChange> change =
         changed.map(
-            newest ->
-                change(before, List.of(), List.of(), List.of(), List.of(), List.of(newest)));
+            newest -> change(before, List.of(), List.of(), List.of(), List.of(), List.of(newest)));
     long version = weights.version(named.model());
     return new Applied(Optional.of(NameWeightsAnswer.of(version)), change);
   }
@@ -237,8 +236,8 @@
     return new Applied(
         Optional.empty(),
         record.map(
-            target -> change(
-                    before, List.of(), List.of(), List.of(target), changedRollouts, List.of())));
+            target ->
+                change(before, List.of(), List.of(), List.of(target), changedRollouts, List.of())));
   }
 
   private ViewChange change(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/TargetTable.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/TargetTable.java
@@ -23,7 +23,7 @@
   /** Returns the record if the announcement changed it. */
   Optional<TargetRecord> announce(Announcement announcement) {
     TargetRecord known = records.get(announcement.id());
-    if (known != null && !AnnouncementOrder.isNews(announcement, known.announcement())) {
+    if (known != null && !AnnouncementOrder.isNewer(announcement, known.announcement())) {
       return Optional.empty();
     }
     boolean wasLeaving =
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ManagedGroupSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ManagedGroupSchedule.java
@@ -18,8 +18,8 @@
 
 /**
  * One schedule of faults over a group that forms itself from three founders, takes others in and
- * replaces instances that stay silent; wholly determined by its seed. No more than two instances are
- * lost at once, but all may be killed together.
+ * replaces instances that stay silent; wholly determined by its seed. No more than two instances
+ * are lost at once, but all may be killed together.
  */
 final class ManagedGroupSchedule {
 
@@ -36,8 +36,7 @@
   private static final int SETTLING_STEPS = 200;
 
   private static final int JOIN_EVERY = 40;
-  private static final MemberRules RULES =
-      MemberRules.tolerating(TOLERATED);
+  private static final MemberRules RULES = MemberRules.tolerating(TOLERATED);
 
   private final long seed;
   private final SplittableRandom random;
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
@@ -101,7 +101,9 @@
   void start(Instant now) {
     state = ControlState.empty();
     disk.latest().ifPresent(this::restore);
-    core = Optional.of(RaftCore.create(disk.start(name, TIMING, initial, random, members), local(now)));
+    core =
+        Optional.of(
+            RaftCore.create(disk.start(name, TIMING, initial, random, members), local(now)));
   }
 
   void crash() {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -150,12 +150,7 @@
   private CompletableFuture<ControlAnswer> publish(long base, String id) {
     return runner.call(
         PublishCall.of(
-            id,
-            "operator",
-            base,
-            List.of(Service.of(id, 1)),
-            Optional.empty(),
-            Optional.empty()));
+            id, "operator", base, List.of(Service.of(id, 1)), Optional.empty(), Optional.empty()));
   }
 
   private PublishAnswer publishUntilLeading(long base, String id) throws Exception {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/announcement/AnnouncementOrder.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/announcement/AnnouncementOrder.java
@@ -19,18 +19,6 @@
         candidate.incarnation(), candidate.sequence(), known.incarnation(), known.sequence());
   }
 
-  /**
-   * Tells whether an announcement changes what is known: one that was made later does, and so does
-   * one by which a target leaves, since no announcement of the same start takes that back.
-   */
-  public static boolean isNews(Announcement candidate, Announcement known) {
-    boolean isLeaving =
-        candidate.incarnation() == known.incarnation()
-            && candidate.leaving()
-            && !known.leaving();
-    return isLeaving || isNewer(candidate, known);
-  }
-
   /** Tells the same of incarnations and sequences. */
   public static boolean isNewer(
       long incarnation, long sequence, long knownIncarnation, long knownSequence) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -10,8 +10,8 @@
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
- * What this instance has under way at each target, and how the targets answered lately. Safe for use
- * by several threads; its lock is innermost.
+ * What this instance has under way at each target, and how the targets answered lately. Safe for
+ * use by several threads; its lock is innermost.
  */
 public final class RelayLoadTable {
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -9,9 +9,9 @@
 import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
- * Chooses the target of a request by the estimated time until it answers: prompt that has to be read
- * there, and the work that is already there. Requests with a context that no target is known to keep go to the home that a
- * hash of the context names, so that instances agree without talking.
+ * Chooses the target of a request by the estimated time until it answers: prompt that has to be
+ * read there, and the work that is already there. Requests with a context that no target is known
+ * to keep go to the home that a hash of the context names, so that instances agree without talking.
  */
 public final class RelayPlacement {
 
@@ -79,7 +79,10 @@
     String home = home(work, targets);
     return targets.stream()
         .filter(target -> !excluded.contains(target.id()))
-        .map(target -> evaluate(work, target, home, table.load(target, work, now), storedTokens, instances))
+        .map(
+            target ->
+                evaluate(
+                    work, target, home, table.load(target, work, now), storedTokens, instances))
         .flatMap(Optional::stream)
         .min(Comparator.comparingDouble(Choice::cost));
   }
@@ -95,7 +98,10 @@
       return Optional.empty();
     }
     double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-    cost += work.isGeneration() ? generation(work, target, home, load, storedTokens) : plain(work, target, load);
+    cost +=
+        work.isGeneration()
+            ? generation(work, target, home, load, storedTokens)
+            : plain(work, target, load);
     return Optional.of(new Choice(target, cost, load.keptTokens(), storedTokens, load.inFlight()));
   }
 
@@ -113,11 +119,7 @@
   }
 
   private static double generation(
-      RelayWork work,
-      RelayTarget target,
-      String home,
-      RelayLoadTable.Load load,
-      int storedTokens) {
+      RelayWork work, RelayTarget target, String home, RelayLoadTable.Load load, int storedTokens) {
     double fetched = Math.max(0, storedTokens - load.keptTokens());
     double missing = work.request().promptTokens() - load.keptTokens() - fetched;
     if (target.id().equals(home)) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -49,8 +49,7 @@
    * @param number order of arrival
    * @param givesUpAt time at which waiting ends
    */
-  public record Waiting<T>(
-      T item, int priority, long size, long number, Instant givesUpAt) {}
+  public record Waiting<T>(T item, int priority, long size, long number, Instant givesUpAt) {}
 
   /**
    * What became of a request that asked to wait.
@@ -81,8 +80,7 @@
    * no more room. A large one that waits for memory does not hold up small ones.
    */
   public synchronized boolean mustWaitBehind(int priority, long size) {
-    return waiting.stream()
-        .anyMatch(other -> other.priority() <= priority && other.size() <= size);
+    return waiting.stream().anyMatch(other -> other.priority() <= priority && other.size() <= size);
   }
 
   /** Returns what waits, the most urgent first. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -14,9 +14,9 @@
 /**
  * Decides which parts of a prompt a target fetches from stores and which it saves there. Parts that
  * other requests share are saved once, at the store that a hash names, as long as it has room; a
- * part is fetched only from a store that has reported it as whole. Nothing is ever freed, so a fetch
- * cannot meet a part that goes away. Safe for use by several threads; its lock is held while no
- * other but that of the stored parts is taken.
+ * part is fetched only from a store that has reported it as whole. Nothing is ever freed, so a
+ * fetch cannot meet a part that goes away. Safe for use by several threads; its lock is held while
+ * no other but that of the stored parts is taken.
  */
 public final class TransferPlanner {
 
@@ -56,8 +56,7 @@
       Optional<CacheStore> holder = holder(stores, scope, part);
       boolean isShared = fetch.size() < work.sharedParts().size();
       fetch.add(holder.map(CacheStore::address));
-      save.add(
-          holder.isEmpty() && isShared ? saveAt(stores, scope, part, now) : Optional.empty());
+      save.add(holder.isEmpty() && isShared ? saveAt(stores, scope, part, now) : Optional.empty());
     }
     return new CacheTransfers(fetch, save);
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -30,8 +30,7 @@
 
     Optional<RelayPlacement.Choice> other =
         RelayPlacement.in("dc-1")
-            .choose(
-                DRAFT, TARGETS, RelayLoadTable.create(), 0, Set.of(), INSTANCES, Works.NOW);
+            .choose(DRAFT, TARGETS, RelayLoadTable.create(), 0, Set.of(), INSTANCES, Works.NOW);
 
     assertEquals(home, other.orElseThrow().target().id());
   }
@@ -65,8 +64,7 @@
     load.others(List.of(TargetWork.of(home.id(), 8, 84_000)), Works.NOW);
 
     assertNotEquals(home, choose(DRAFT).orElseThrow().target());
-    assertEquals(
-        0, load.load(home, DRAFT, Works.NOW.plusSeconds(2)).footprint());
+    assertEquals(0, load.load(home, DRAFT, Works.NOW.plusSeconds(2)).footprint());
   }
 
   @Test
@@ -137,7 +135,6 @@
   }
 
   private Optional<RelayPlacement.Choice> choose(RelayWork work) {
-    return RelayPlacement.in("dc-1")
-        .choose(work, TARGETS, load, 0, Set.of(), INSTANCES, Works.NOW);
+    return RelayPlacement.in("dc-1").choose(work, TARGETS, load, 0, Set.of(), INSTANCES, Works.NOW);
   }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayQueueTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayQueueTest.java
@@ -64,8 +64,7 @@
 
   @Test
   void should_give_up_before_most_of_the_callers_time_is_gone() {
-    RelayQueue.Admission<String> admission =
-        queue.offer("request", 1, 10, NOW.plusSeconds(2), NOW);
+    RelayQueue.Admission<String> admission = queue.offer("request", 1, 10, NOW.plusSeconds(2), NOW);
 
     assertEquals(NOW.plusMillis(500), admission.place().orElseThrow().givesUpAt());
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/Works.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/Works.java
@@ -68,10 +68,8 @@
   }
 
   static RelayWork generation(Optional<Organisation> owner, PromptPart... parts) {
-    EngineCapacity engine =
-        EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
-    RelayService service =
-        RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
+    EngineCapacity engine = EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
+    RelayService service = RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
     return work(service, Execution.STREAM, List.of(parts), owner);
   }
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/retry/RetryBudgetTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/retry/RetryBudgetTest.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.retry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/TerminationSignals.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/TerminationSignals.java
@@ -5,8 +5,8 @@
 import java.util.List;
 
 /**
- * Signals of the process. The JDK's shutdown hooks cannot see a second signal, and its signal class is
- * reached by reflection because the compiler warns of it.
+ * Signals of the process. The JDK's shutdown hooks cannot see a second signal, and its signal class
+ * is reached by reflection because the compiler warns of it.
  */
 public final class TerminationSignals {
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
@@ -31,9 +31,7 @@
   /** Takes an announcement; false when a newer one was heard before. */
   public synchronized boolean accept(Announcement announcement, Instant now) {
     Heard known = heard.get(announcement.id());
-    if (known != null
-        && AnnouncementOrder.isNewer(known.announcement(), announcement)
-        && !AnnouncementOrder.isNews(announcement, known.announcement())) {
+    if (known != null && AnnouncementOrder.isNewer(known.announcement(), announcement)) {
       return false;
     }
     heard.put(announcement.id(), new Heard(announcement, now, false));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ApiServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ApiServer.java
@@ -109,7 +109,8 @@
       var unused =
           handle(call)
               .exceptionally(this::failed)
-              .thenAccept(answer -> context.executor().execute(() -> write(context, answer, isKept)));
+              .thenAccept(
+                  answer -> context.executor().execute(() -> write(context, answer, isKept)));
     }
 
     private CompletableFuture<ApiAnswer> handle(ApiRequest call) {
@@ -130,17 +131,14 @@
     private static void write(ChannelHandlerContext context, ApiAnswer answer, boolean isKept) {
       DefaultFullHttpResponse response =
           new DefaultFullHttpResponse(
-              HttpVersion.HTTP_1_1,
-              HttpResponseStatus.valueOf(answer.status()),
-              answer.body());
+              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), answer.body());
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().readableBytes());
       if (isKept) {
         var unused = context.writeAndFlush(response);
       } else {
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        var unused =
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        var unused = context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
       }
     }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -64,8 +64,8 @@
   }
 
   /**
-   * Publishes a set under the operator's own version; the highest wins. A version that is not higher
-   * than the one in force changes nothing.
+   * Publishes a set under the operator's own version; the highest wins. A version that is not
+   * higher than the one in force changes nothing.
    *
    * @return the faults of the set; empty when it was accepted or overtaken
    * @throws ServingException if the outcome is not known
@@ -102,9 +102,7 @@
   public Optional<byte[]> readDocument() throws ServingException {
     return client
         .call(
-            ReadDocumentCall.of(self),
-            ReadDocumentAnswer.class,
-            clock.instant().plus(READ_TIMEOUT))
+            ReadDocumentCall.of(self), ReadDocumentAnswer.class, clock.instant().plus(READ_TIMEOUT))
         .document();
   }
 
@@ -127,8 +125,8 @@
   }
 
   /**
-   * Takes what a target tells of itself. One that is leaving is answered only once that is committed
-   * and known here, so that no daemon gives it work for long after the answer.
+   * Takes what a target tells of itself. One that is leaving is answered only once that is
+   * committed and known here, so that no daemon gives it work for long after the answer.
    *
    * @throws ServingException if a target that leaves is not known to be leaving in time
    */
@@ -183,7 +181,8 @@
     Instant deadline = clock.instant().plus(LEAVE_TIMEOUT);
     while (!isLeaving(id, incarnation)) {
       if (!clock.instant().isBefore(deadline)) {
-        throw ServingErrors.controlUnavailable("the fleet does not know yet that " + id + " leaves");
+        throw ServingErrors.controlUnavailable(
+            "the fleet does not know yet that " + id + " leaves");
       }
       try {
         TimeUnit.MILLISECONDS.sleep(LEAVE_POLL_MILLIS);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
@@ -50,9 +50,7 @@
   private TargetCalls.Reply call(Announcement engine, FullHttpRequest request)
       throws IOException, InterruptedException {
     try {
-      return calls
-          .call(ControlDirectory.parseAddress(address(engine)), request, TIMEOUT)
-          .get();
+      return calls.call(ControlDirectory.parseAddress(address(engine)), request, TIMEOUT).get();
     } catch (ExecutionException e) {
       throw new IOException(e.getCause().getMessage(), e.getCause());
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -94,8 +94,7 @@
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
 
-  private NodeRuntime(
-      NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
+  private NodeRuntime(NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
     this.settings = settings;
     this.edges = edges;
     this.log = log;
@@ -212,8 +211,7 @@
     membership.local(started);
     startThread(new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner");
     ControlService service =
-        new ControlService(
-            settings.peer(), client, membership, holder, registrations, log, clock);
+        new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
     startThread(weightsRollout(started, service), "weights-rollout");
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/OrderProtocol.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/OrderProtocol.java
@@ -42,10 +42,5 @@
    * @param expectedOrders orders that the engine has taken before it
    */
   record WeightsOrder(
-      String target,
-      String model,
-      long version,
-      String holder,
-      long fence,
-      long expectedOrders) {}
+      String target, String model, long version, String holder, long fence, long expectedOrders) {}
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -25,9 +25,9 @@
 import org.geraniumwharf.weights.WavePlanner;
 
 /**
- * Brings the engines to the weights that operators name, while the local control instance leads. The
- * term is the fencing number of every order. A new leader first waits until the orders of the one
- * before are over.
+ * Brings the engines to the weights that operators name, while the local control instance leads.
+ * The term is the fencing number of every order. A new leader first waits until the orders of the
+ * one before are over.
  */
 final class WeightsRollout implements Runnable {
 
@@ -197,12 +197,7 @@
         orders.order(
             engine,
             new OrderProtocol.WeightsOrder(
-                engine.id(),
-                named.model(),
-                named.version(),
-                self,
-                leading.term(),
-                expectedOrders));
+                engine.id(), named.model(), named.version(), self, leading.term(), expectedOrders));
     log.info(
         Event.of("weights-ordered")
             .with("target", engine.id())
@@ -221,14 +216,13 @@
     for (LoadedWeights weights : newest.loaded()) {
       boolean isSwapped = weights.modelVersion().startsWith(named.model() + '@');
       loaded.add(
-          isSwapped
-              ? weights.withModelVersion(named.model() + '@' + named.version())
-              : weights);
+          isSwapped ? weights.withModelVersion(named.model() + '@' + named.version()) : weights);
     }
     try {
       service.announce(newest.withLoaded(loaded).withSequence(newest.sequence() + 1));
     } catch (ServingException e) {
-      log.info(Event.of("weights-untold").with("target", engine.id()).with("cause", e.getMessage()));
+      log.info(
+          Event.of("weights-untold").with("target", engine.id()).with("cause", e.getMessage()));
     }
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -91,7 +91,8 @@
     }
     try {
       RelayRequest read = front.protocol().read(request, front.now());
-      RelayExchange exchange = new RelayExchange(front, this, context.channel().eventLoop(), request, read);
+      RelayExchange exchange =
+          new RelayExchange(front, this, context.channel().eventLoop(), request, read);
       current = Optional.of(exchange);
       exchange.begin();
     } catch (ServingException e) {
@@ -128,7 +129,8 @@
 
   void answerError(RelayRequest request, ServingException error) {
     HttpHeaders headers = front.protocol().ownAnswer(request, error);
-    writeWhole(HttpResponseStatus.valueOf(error.kind().httpStatus()), headers, body(error, request.id()));
+    writeWhole(
+        HttpResponseStatus.valueOf(error.kind().httpStatus()), headers, body(error, request.id()));
   }
 
   private static ByteBuf body(ServingException error, String requestId) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStream.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStream.java
@@ -75,8 +75,7 @@
       }
       if (startsWithId(event, start, end)) {
         int value = start + ID_FIELD.length;
-        return Optional.of(
-            new String(event, value, end - value, StandardCharsets.UTF_8).strip());
+        return Optional.of(new String(event, value, end - value, StandardCharsets.UTF_8).strip());
       }
       start = end + 1;
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -50,8 +50,7 @@
       InstantSource clock)
       throws InterruptedException {
     RelayFront front =
-        RelayFront.create(
-            holder, readiness, protocol, rules, load, instances, metrics, log, clock);
+        RelayFront.create(holder, readiness, protocol, rules, load, instances, metrics, log, clock);
     RelayServer server = new RelayServer(front, loops);
     server.start(address);
     EventLoop loop = loops.next();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -192,8 +192,7 @@
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
     caller
         .targets()
-        .acquire(
-            address, opened -> sendOver(opened, next), cause -> unreachable(next, cause));
+        .acquire(address, opened -> sendOver(opened, next), cause -> unreachable(next, cause));
   }
 
   private void sendOver(TargetConnection opened, TargetCall next) {
@@ -418,8 +417,8 @@
   }
 
   /**
-   * Gives the request up. The error says that it has not run, which holds only if no target may have
-   * run it.
+   * Gives the request up. The error says that it has not run, which holds only if no target may
+   * have run it.
    */
   private void refuse(ServingException error) {
     if (isAnswerBegun) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -149,13 +149,7 @@
   Optional<RelayPlacement.Choice> choose(RelayWork work, Set<String> tried, Instant now) {
     List<RelayTarget> targets = admission.targets().of(work.service().name());
     return placement.choose(
-        work,
-        targets,
-        load,
-        storedTokens(work, targets),
-        tried,
-        instances.getAsInt(),
-        now);
+        work, targets, load, storedTokens(work, targets), tried, instances.getAsInt(), now);
   }
 
   private int storedTokens(RelayWork work, List<RelayTarget> targets) {
@@ -170,7 +164,8 @@
   }
 
   /** Follows the cache stores over some calls from now on. */
-  void followStores(CacheProtocol cache, TargetCalls calls, EventLoop loop, FleetViewHolder holder) {
+  void followStores(
+      CacheProtocol cache, TargetCalls calls, EventLoop loop, FleetViewHolder holder) {
     StoreFollowers started = new StoreFollowers(stored, cache, calls, loop, log);
     followers = Optional.of(started);
     started.follow(holder.current().configuration());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -66,8 +66,7 @@
   private void accept(SocketChannel channel) {
     RelayLimits limits = front.admission().targets().table().limits().orElse(DEFAULT_LIMITS);
     CallerConnection connection =
-        new CallerConnection(
-            front, targetsOf(channel), () -> isLeaving, limits.maxHeaderBytes());
+        new CallerConnection(front, targetsOf(channel), () -> isLeaving, limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
     long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
@@ -81,8 +80,7 @@
 
   private TargetConnections targetsOf(Channel channel) {
     return targets.computeIfAbsent(
-        channel.eventLoop(),
-        loop -> new TargetConnections(loop, front.protocol(), front.clock()));
+        channel.eventLoop(), loop -> new TargetConnections(loop, front.protocol(), front.clock()));
   }
 
   /** Ends each connection with its next answer from now on. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreFollowers.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreFollowers.java
@@ -22,11 +22,7 @@
   private final Map<CacheStore, StoreFollower> followers = new ConcurrentHashMap<>();
 
   StoreFollowers(
-      StoredParts stored,
-      CacheProtocol protocol,
-      TargetCalls calls,
-      EventLoop loop,
-      EventLog log) {
+      StoredParts stored, CacheProtocol protocol, TargetCalls calls, EventLoop loop, EventLog log) {
     this.stored = stored;
     this.protocol = protocol;
     this.calls = calls;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCalls.java
@@ -70,8 +70,7 @@
       CompletableFuture<Reply> reply) {
     Collector collector = new Collector(address, connection, reply);
     connection.send(request, "", collector);
-    var unused =
-        loop.schedule(collector::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+    var unused = loop.schedule(collector::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private final class Collector implements TargetConnection.Listener {
@@ -83,9 +82,7 @@
     private int status;
 
     Collector(
-        InetSocketAddress address,
-        TargetConnection connection,
-        CompletableFuture<Reply> reply) {
+        InetSocketAddress address, TargetConnection connection, CompletableFuture<Reply> reply) {
       this.address = address;
       this.connection = connection;
       this.reply = reply;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -23,7 +23,8 @@
 
 /**
  * A connection to a target that carries one request at a time. Confined to its event loop. An
- * answer to another request than the one under way is dropped, and the connection is not used again.
+ * answer to another request than the one under way is dropped, and the connection is not used
+ * again.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -16,7 +16,8 @@
   public static FleetViewHolder holder(
       List<PublishedObject> objects, List<TargetRecord> targets, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
-    holder.apply(WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0), now);
+    holder.apply(
+        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0), now);
     return holder;
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -81,11 +81,19 @@
   }
 
   private static WatchSnapshot snapshot(long index, long version) {
-    return WatchSnapshot.of(FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0);
+    return WatchSnapshot.of(
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0);
   }
 
   private static ViewChange change(long index, long version) {
     return ViewChange.of(
-        0, index, version, List.of(Service.of("added", 1)), List.of(), List.of(), List.of(), List.of());
+        0,
+        index,
+        version,
+        List.of(Service.of("added", 1)),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of());
   }
 }
