Count a caller's time from before its request was read while the event loop is behind

Change: LoopDelay measures how far the loop is behind; the arrival of a request is put back by that, so that deadlines are true and what is over is refused at once as not run.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayRequest.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayRequest.java
@@ -19,7 +19,7 @@
  * @param promptTokens tokens of the prompt
  * @param outputTokens most tokens that are generated
  * @param lastEventId event of a stream after which the caller wants to go on
- * @param arrivedAt time at which the whole request was read
+ * @param arrivedAt time from which its caller waits, as far as this instance can tell
  */
 public record RelayRequest(
     String id,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -37,6 +38,7 @@
 
   private final RelayFront front;
   private final TargetConnections targets;
+  private final LoopDelay delay;
   private final BooleanSupplier isLeaving;
   private final int headerBytes;
   private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
@@ -45,9 +47,14 @@
   private boolean isKeptAlive;
 
   CallerConnection(
-      RelayFront front, TargetConnections targets, BooleanSupplier isLeaving, int headerBytes) {
+      RelayFront front,
+      TargetConnections targets,
+      LoopDelay delay,
+      BooleanSupplier isLeaving,
+      int headerBytes) {
     this.front = front;
     this.targets = targets;
+    this.delay = delay;
     this.isLeaving = isLeaving;
     this.headerBytes = headerBytes;
   }
@@ -90,7 +97,8 @@
       return;
     }
     try {
-      RelayRequest read = front.protocol().read(request, front.now());
+      Instant arrivedAt = front.now().minus(delay.current());
+      RelayRequest read = front.protocol().read(request, arrivedAt);
       RelayExchange exchange =
           new RelayExchange(front, this, context.channel().eventLoop(), request, read);
       current = Optional.of(exchange);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -92,9 +92,13 @@
       refuse(e);
       return;
     }
+    Duration left = Duration.between(now, work.deadline());
+    if (left.isNegative() || left.isZero()) {
+      refuseOverloaded(RETRY_REFUSED, Duration.ZERO);
+      return;
+    }
     front.budget(work).deposit();
-    Duration left = Duration.between(now, work.deadline()).plus(DEADLINE_SLACK);
-    deadlineTimer = Optional.of(schedule(this::deadlinePassed, left));
+    deadlineTimer = Optional.of(schedule(this::deadlinePassed, left.plus(DEADLINE_SLACK)));
     choose();
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -35,6 +35,7 @@
   private final RelayFront front;
   private final EventLoopGroup loops;
   private final Map<EventLoop, TargetConnections> targets = new ConcurrentHashMap<>();
+  private final Map<EventLoop, LoopDelay> delays = new ConcurrentHashMap<>();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean isLeaving;
 
@@ -66,7 +67,13 @@
   private void accept(SocketChannel channel) {
     RelayLimits limits = front.admission().targets().table().limits().orElse(DEFAULT_LIMITS);
     CallerConnection connection =
-        new CallerConnection(front, targetsOf(channel), () -> isLeaving, limits.maxHeaderBytes());
+        new CallerConnection(
+            front,
+            targetsOf(channel),
+            delays.computeIfAbsent(
+                channel.eventLoop(), loop -> LoopDelay.measure(loop, front.clock())),
+            () -> isLeaving,
+            limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
     long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
