Publish a leadership only once its begin is noted

Cause: a reading of the whole change. The leadership was published in the tick, before the change of role was noted, so that for one round a new leader showed the begin of an earlier leadership, or none, and the rest before its first order to an engine could be passed over. Change: the leadership is published after the role is noted, in every step.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -211,6 +211,7 @@
     core.flush(now);
     carryOutAll();
     noteRole(clock.instant());
+    noteLeadership(clock.instant());
     if (!now.isBefore(stopDeadline) || (isStopRequested() && core.role() != Role.LEADER)) {
       isStopping = true;
     }
@@ -235,7 +236,6 @@
     nextTick = now.plus(TICK);
     core.tick(now);
     isJoined = core.isJoined(now);
-    noteLeadership(now);
     if (core.role() == Role.LEADER) {
       duties.tick(state, now).forEach(this::proposeInternal);
       placement
