Place by what each engine still has to do for first tokens, among a few targets

All instances took the engine that had looked idle 150 to 300 ms before. Ruled out: transfers from stores (requests without any have the same tail), slow engines (medians by engine are alike), kept cache of engines (1 to 2 % of the requests meet it). Change: a request counts into its engine's backlog with its estimated time until the first token, instances tell each other that time with their heartbeats, and the estimate of a choice adds it. A request compares three targets that a hash of its id draws, besides those that keep its context. Long drafts still wait for memory at the crest.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -195,7 +195,10 @@
 
   private static TargetWork sum(TargetWork one, TargetWork other) {
     return TargetWork.of(
-        one.target(), one.requests() + other.requests(), one.tokens() + other.tokens());
+        one.target(),
+        one.requests() + other.requests(),
+        one.tokens() + other.tokens(),
+        one.backlogMillis() + other.backlogMillis());
   }
 
   List<DaemonStatus> liveDaemons(Instant now) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -18,7 +18,7 @@
   /** Time for which the others' work is a better guess than none. */
   private static final Duration VALIDITY = Duration.ofMillis(1500);
 
-  private static final TargetWork NO_WORK = TargetWork.of("", 0, 0);
+  private static final TargetWork NO_WORK = TargetWork.of("", 0, 0, 0);
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, TargetWork> ofOthers = new HashMap<>();
@@ -35,19 +35,19 @@
    *
    * @param inFlight requests of all instances that are under way there, as far as they have told
    * @param footprint tokens that they occupy
+   * @param backlogMillis time that the target needs until each of them has its first token, ms
    * @param isTold whether the other instances told of their work lately; otherwise only this
    *     instance's own is counted
    * @param keptTokens tokens of the prompt that the target probably keeps
    * @param isResting whether it gets no work because it failed lately
-   * @param restsUntil end of that rest
    */
   public record Load(
       int inFlight,
       long footprint,
+      long backlogMillis,
       boolean isTold,
       int keptTokens,
-      boolean isResting,
-      Instant restsUntil) {}
+      boolean isResting) {}
 
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, RelayWork work, Instant now) {
@@ -61,10 +61,10 @@
     return new Load(
         entry.inFlight + others.requests(),
         entry.footprint + others.tokens(),
+        entry.backlogMillis + others.backlogMillis(),
         isTold,
         kept,
-        entry.health.isResting(now),
-        entry.health.restsUntil());
+        entry.health.isResting(now));
   }
 
   /** Returns the work of this instance, to be told to the others. */
@@ -73,7 +73,7 @@
     entries.forEach(
         (target, entry) -> {
           if (entry.inFlight > 0) {
-            own.add(TargetWork.of(target, entry.inFlight, entry.footprint));
+            own.add(TargetWork.of(target, entry.inFlight, entry.footprint, entry.backlogMillis));
           }
         });
     return own;
@@ -86,24 +86,37 @@
     toldUntil = now.plus(VALIDITY);
   }
 
-  /** Counts a request that is being sent; its prompt will be kept there. */
-  public synchronized void sent(RelayTarget target, RelayWork work) {
-    Entry entry = entry(target.id());
+  /**
+   * Counts a request that is being sent; its prompt will be kept there.
+   *
+   * @param backlogMillis time that the target needs for its first token, ms
+   */
+  public synchronized Run sent(RelayTarget target, RelayWork work, long backlogMillis) {
+    Run run = new Run(target.id(), work.isGeneration() ? work.footprint() : 0, backlogMillis);
+    Entry entry = entry(run.target);
     entry.inFlight++;
+    entry.footprint += run.footprint;
+    entry.backlogMillis += run.backlogMillis;
     if (work.isGeneration()) {
-      entry.footprint += work.footprint();
       long capacity = work.service().engine().orElseThrow().cacheTokens();
       entry.parts.add(work.cacheScope(target), work.request().prompt(), capacity);
     }
+    return run;
+  }
+
+  /** Notes that the first token came, which ends its part of the backlog. */
+  public synchronized void answering(Run run) {
+    entry(run.target).backlogMillis -= run.backlogMillis;
+    run.backlogMillis = 0;
   }
 
   /** Ends a request that {@link #sent} counted. */
-  public synchronized void ended(String target, RelayWork work) {
-    Entry entry = entry(target);
+  public synchronized void ended(Run run) {
+    Entry entry = entry(run.target);
     entry.inFlight--;
-    if (work.isGeneration()) {
-      entry.footprint -= work.footprint();
-    }
+    entry.footprint -= run.footprint;
+    entry.backlogMillis -= run.backlogMillis;
+    run.backlogMillis = 0;
   }
 
   public synchronized void succeeded(String target) {
@@ -138,11 +151,26 @@
     return entries.computeIfAbsent(target, name -> new Entry());
   }
 
+  /** One request at one target. Guarded by the lock of its table. */
+  public static final class Run {
+
+    private final String target;
+    private final long footprint;
+    private long backlogMillis;
+
+    private Run(String target, long footprint, long backlogMillis) {
+      this.target = target;
+      this.footprint = footprint;
+      this.backlogMillis = backlogMillis;
+    }
+  }
+
   private static final class Entry {
 
     private final TargetHealth health = new TargetHealth();
     private final KnownParts parts = new KnownParts();
     private int inFlight;
     private long footprint;
+    private long backlogMillis;
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -1,10 +1,12 @@
 package org.geraniumwharf.relay;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.geraniumwharf.internal.routing.RendezvousHash;
 import org.geraniumwharf.schema.objects.EngineCapacity;
 
@@ -12,14 +14,22 @@
  * Chooses the target of a request by the estimated time until it answers: prompt that has to be
  * read there, and the work that is already there. Requests with a context that no target is known
  * to keep go to the home that a hash of the context names, so that instances agree without talking.
+ *
+ * <p>Answers load that comes in clumps: what instances know of each other is some hundred ms old,
+ * and a target that looks idle to all of them would get everything that arrives meanwhile. Each
+ * request therefore compares only a few targets that a hash of its own id names, besides those that
+ * keep its context.
  */
 public final class RelayPlacement {
 
   private static final double PREFILL_TOKENS_PER_MILLI = 140;
   private static final double FETCHED_TOKENS_PER_MILLI = 240;
 
+  /** Time that an engine needs for a request besides reading its prompt, ms. */
+  private static final double MILLIS_PER_START = 10;
+
   /** Time that one more running request costs another, ms. */
-  private static final double MILLIS_PER_RUNNING = 3;
+  private static final double MILLIS_PER_RUNNING = 2;
 
   private static final double MILLIS_PER_PLAIN = 20;
 
@@ -27,11 +37,14 @@
   private static final double HOME_EXPECTATION = 0.6;
 
   /** Time that a request loses at an engine whose whole memory is occupied, ms. */
-  private static final double MILLIS_PER_FILLING = 300;
+  private static final double MILLIS_PER_FILLING = 150;
+
+  /** Targets that a request compares, besides those that keep its context. */
+  private static final int COMPARED = 3;
 
   private static final double OTHER_DATA_CENTRE_MILLIS = 2;
 
-  /** Estimates that differ by less than this count as equal, ms. */
+  /** Plain targets whose estimates differ by less than this count as equal, ms. */
   private static final double SPREAD_MILLIS = 25;
 
   private final String dataCentre;
@@ -56,10 +69,16 @@
    * @param cost estimated time that it costs the request, ms
    * @param keptTokens tokens of the prompt that the target probably keeps
    * @param storedTokens tokens at the start of the prompt that cache stores hold
-   * @param inFlight requests of this instance that were under way there
+   * @param firstTokenMillis time that the target needs for its first token alone, ms
+   * @param load what was under way there
    */
   public record Choice(
-      RelayTarget target, double cost, int keptTokens, int storedTokens, int inFlight) {}
+      RelayTarget target,
+      double cost,
+      int keptTokens,
+      int storedTokens,
+      long firstTokenMillis,
+      RelayLoadTable.Load load) {}
 
   /**
    * Returns the cheapest target that has room.
@@ -77,14 +96,31 @@
       int instances,
       Instant now) {
     String home = home(work, targets);
-    return targets.stream()
-        .filter(target -> !excluded.contains(target.id()))
-        .map(
-            target ->
-                evaluate(
-                    work, target, home, table.load(target, work, now), storedTokens, instances))
-        .flatMap(Optional::stream)
-        .min(Comparator.comparingDouble(Choice::cost));
+    List<Choice> open = new ArrayList<>();
+    for (RelayTarget target : targets) {
+      if (!excluded.contains(target.id())) {
+        evaluate(work, target, home, table.load(target, work, now), storedTokens, instances)
+            .ifPresent(open::add);
+      }
+    }
+    return compared(work, open, home).min(Comparator.comparingDouble(Choice::cost));
+  }
+
+  private static Stream<Choice> compared(RelayWork work, List<Choice> open, String home) {
+    if (!work.isGeneration() || open.size() <= COMPARED) {
+      return open.stream();
+    }
+    Stream<Choice> drawn =
+        open.stream()
+            .sorted(Comparator.comparingDouble(choice -> turn(work, choice.target())))
+            .limit(COMPARED);
+    Stream<Choice> keeping =
+        open.stream()
+            .filter(
+                choice ->
+                    choice.target().id().equals(home)
+                        || choice.keptTokens() > choice.storedTokens());
+    return Stream.concat(drawn, keeping);
   }
 
   private Optional<Choice> evaluate(
@@ -97,28 +133,30 @@
     if (load.isResting() || !RelayShare.hasRoom(work, target, load, instances)) {
       return Optional.empty();
     }
-    double cost = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-    cost +=
-        work.isGeneration()
-            ? generation(work, target, home, load, storedTokens)
-            : plain(work, target, load);
-    return Optional.of(new Choice(target, cost, load.keptTokens(), storedTokens, load.inFlight()));
+    double distance = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
+    double own = work.isGeneration() ? firstToken(work, target, home, load, storedTokens) : 0;
+    double others = work.isGeneration() ? atEngine(work, load) : plain(work, target, load);
+    return Optional.of(
+        new Choice(
+            target,
+            distance + own + others,
+            load.keptTokens(),
+            storedTokens,
+            Math.round(own),
+            load));
   }
 
   private static double plain(RelayWork work, RelayTarget target, RelayLoadTable.Load load) {
     return load.inFlight() * MILLIS_PER_PLAIN + SPREAD_MILLIS * turn(work, target);
   }
 
-  /**
-   * Returns a number from 0 to 1 that differs between requests and targets. What instances know of
-   * each other is some hundred ms old; without it all would choose the same target until the next
-   * word.
-   */
+  /** Returns a number from 0 to 1 that differs between requests and targets. */
   private static double turn(RelayWork work, RelayTarget target) {
     return RendezvousHash.fraction(weight(work.request().id(), target.id()));
   }
 
-  private static double generation(
+  /** Estimates the time that a target needs for the first token of a request alone, ms. */
+  private static double firstToken(
       RelayWork work, RelayTarget target, String home, RelayLoadTable.Load load, int storedTokens) {
     double fetched = Math.max(0, storedTokens - load.keptTokens());
     double missing = work.request().promptTokens() - load.keptTokens() - fetched;
@@ -127,11 +165,17 @@
       int known = Math.max(storedTokens, load.keptTokens());
       missing -= HOME_EXPECTATION * Math.max(0, shared - known);
     }
-    double cost = missing / PREFILL_TOKENS_PER_MILLI + fetched / FETCHED_TOKENS_PER_MILLI;
-    cost += load.inFlight() * MILLIS_PER_RUNNING;
+    return MILLIS_PER_START
+        + missing / PREFILL_TOKENS_PER_MILLI
+        + fetched / FETCHED_TOKENS_PER_MILLI;
+  }
+
+  /** Estimates the time that a request loses to the others at an engine, ms. */
+  private static double atEngine(RelayWork work, RelayLoadTable.Load load) {
     EngineCapacity engine = work.service().engine().orElseThrow();
-    cost += SPREAD_MILLIS * turn(work, target);
-    return cost + MILLIS_PER_FILLING * load.footprint() / engine.cacheTokens();
+    return load.backlogMillis()
+        + load.inFlight() * MILLIS_PER_RUNNING
+        + MILLIS_PER_FILLING * load.footprint() / engine.cacheTokens();
   }
 
   private static String home(RelayWork work, List<RelayTarget> targets) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
@@ -53,8 +53,4 @@
   boolean isResting(Instant now) {
     return now.isBefore(restsUntil);
   }
-
-  Instant restsUntil() {
-    return restsUntil;
-  }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -42,8 +42,7 @@
             .filter(target -> !target.equals(choose(DRAFT).orElseThrow().target()))
             .findFirst()
             .orElseThrow();
-    load.sent(other, DRAFT);
-    load.ended(other.id(), DRAFT);
+    load.ended(load.sent(other, DRAFT, 80));
 
     assertEquals(other, choose(DRAFT).orElseThrow().target());
   }
@@ -52,7 +51,7 @@
   void should_leave_a_target_whose_memory_runs_out() {
     RelayTarget home = choose(DRAFT).orElseThrow().target();
     for (int i = 0; i < 4; i++) {
-      load.sent(home, DRAFT);
+      load.sent(home, DRAFT, 80);
     }
 
     assertNotEquals(home, choose(DRAFT).orElseThrow().target());
@@ -61,18 +60,41 @@
   @Test
   void should_count_what_other_instances_told_and_forget_it_in_time() {
     RelayTarget home = choose(DRAFT).orElseThrow().target();
-    load.others(List.of(TargetWork.of(home.id(), 8, 84_000)), Works.NOW);
+    load.others(List.of(TargetWork.of(home.id(), 8, 84_000, 0)), Works.NOW);
 
     assertNotEquals(home, choose(DRAFT).orElseThrow().target());
     assertEquals(0, load.load(home, DRAFT, Works.NOW.plusSeconds(2)).footprint());
   }
 
+  @Test
+  void should_leave_a_target_that_is_behind() {
+    RelayTarget home = choose(DRAFT).orElseThrow().target();
+    load.others(List.of(TargetWork.of(home.id(), 1, 20_000, 150)), Works.NOW);
+
+    assertNotEquals(home, choose(DRAFT).orElseThrow().target());
+  }
+
+  @Test
+  void should_count_a_request_into_the_backlog_until_its_first_token() {
+    RelayTarget target = TARGETS.get(0);
+    RelayLoadTable.Run run = load.sent(target, DRAFT, 80);
+
+    long before = load.load(target, DRAFT, Works.NOW).backlogMillis();
+    load.answering(run);
+    long after = load.load(target, DRAFT, Works.NOW).backlogMillis();
+    load.ended(run);
+
+    assertEquals(80, before);
+    assertEquals(0, after);
+    assertEquals(0, load.load(target, DRAFT, Works.NOW).backlogMillis());
+  }
+
   @Test
   void should_keep_memory_free_for_small_requests() {
     RelayWork small = Works.generation(COMMON, new PromptPart("short", 200));
     for (RelayTarget target : TARGETS) {
       load.others(
-          TARGETS.stream().map(each -> TargetWork.of(each.id(), 8, 80_000)).toList(), Works.NOW);
+          TARGETS.stream().map(each -> TargetWork.of(each.id(), 8, 80_000, 0)).toList(), Works.NOW);
       assertTrue(load.load(target, DRAFT, Works.NOW).isTold());
     }
 
@@ -86,7 +108,7 @@
     Set<String> used = new HashSet<>();
     for (int i = 0; i < TARGETS.size(); i++) {
       RelayTarget target = choose(work).orElseThrow().target();
-      load.sent(target, work);
+      load.sent(target, work, 0);
       used.add(target.id());
     }
 
@@ -116,7 +138,7 @@
     RelayWork work = Works.plain(Execution.IDEMPOTENT);
     for (RelayTarget target : TARGETS) {
       for (int i = 0; i < 100; i++) {
-        load.sent(target, work);
+        load.sent(target, work, 0);
       }
     }
 
@@ -128,7 +150,7 @@
     RelayWork isolated =
         Works.generation(Optional.of(Works.organisation("apart", true)), COMMON, CONTEXT, OWN);
     RelayTarget target = TARGETS.get(0);
-    load.sent(target, DRAFT);
+    load.sent(target, DRAFT, 80);
 
     assertEquals(0, load.load(target, isolated, Works.NOW).keptTokens());
     assertNotEquals(isolated.cacheScope(target), DRAFT.cacheScope(target));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -23,6 +23,7 @@
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.PromptPart;
+import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
 import org.geraniumwharf.relay.RelayRequest;
@@ -189,9 +190,9 @@
   private void send(RelayPlacement.Choice choice, Instant now) {
     RelayTarget target = choice.target();
     tried.add(target.id());
-    TargetCall next = new TargetCall(this, target);
+    RelayLoadTable.Run run = front.load().sent(target, work, choice.firstTokenMillis());
+    TargetCall next = new TargetCall(this, target, run);
     call = Optional.of(next);
-    front.load().sent(target, work);
     logDecision(choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
     caller
@@ -263,7 +264,7 @@
     }
     call = Optional.empty();
     Instant now = front.now();
-    front.load().ended(ended.target().id(), work);
+    front.load().ended(ended.run());
     front.ended(work, now);
     return !isDone;
   }
@@ -348,8 +349,12 @@
   // ------------------------------------------------------------------ streams
 
   /** Takes a whole event of a stream; one that the caller already has is dropped. */
-  void event(HttpResponse head, EventStream.StreamEvent event) {
-    if (isDone || isRepeated(event)) {
+  void event(TargetCall from, HttpResponse head, EventStream.StreamEvent event) {
+    if (isDone) {
+      return;
+    }
+    front.load().answering(from.run());
+    if (isRepeated(event)) {
       return;
     }
     if (!isAnswerBegun) {
@@ -487,7 +492,9 @@
                 .with("context", context())
                 .with("keptTokens", choice.keptTokens())
                 .with("storedTokens", choice.storedTokens())
-                .with("inFlight", choice.inFlight())
+                .with("inFlight", choice.load().inFlight())
+                .with("footprint", choice.load().footprint())
+                .with("backlogMillis", choice.load().backlogMillis())
                 .with("waitedMillis", Duration.between(read.arrivedAt(), now).toMillis())
                 .with("view", front.admission().targets().view().index()));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayTarget;
 
 /** One request at one target: gathers the answer and tells the exchange how it ended. */
@@ -15,6 +16,7 @@
 
   private final RelayExchange exchange;
   private final RelayTarget target;
+  private final RelayLoadTable.Run run;
   private final EventStream events = new EventStream();
   private final CompositeByteBuf held = Unpooled.compositeBuffer();
   private Optional<TargetConnection> connection = Optional.empty();
@@ -22,9 +24,15 @@
   private TargetReply.Verdict verdict = TargetReply.Verdict.UNTRUSTED;
   private boolean isOver;
 
-  TargetCall(RelayExchange exchange, RelayTarget target) {
+  TargetCall(RelayExchange exchange, RelayTarget target, RelayLoadTable.Run run) {
     this.exchange = exchange;
     this.target = target;
+    this.run = run;
+  }
+
+  /** Returns the count of this call among the work at its target. */
+  RelayLoadTable.Run run() {
+    return run;
   }
 
   RelayTarget target() {
@@ -71,7 +79,7 @@
     }
     if (isStreamed()) {
       for (EventStream.StreamEvent event : events.feed(bytes)) {
-        exchange.event(head.orElseThrow(), event);
+        exchange.event(this, head.orElseThrow(), event);
       }
     } else if (held.readableBytes() + bytes.readableBytes() > MAX_HELD_BYTES) {
       connection.ifPresent(TargetConnection::cancel);
