Spread the return of refused callers, and look for a close before a late request is begun

Change: ReturnTime draws the pause from the id of the request, between once and twice the time in which room is expected, which after a wait in vain is 700 ms. LateRequestHandler holds requests back for one pass of a loop that is 100 ms behind or more, and drops those whose caller has closed the connection.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.RelayWork;
+import org.geraniumwharf.relay.ReturnTime;
 import org.geraniumwharf.schema.objects.Organisation;
 import org.geraniumwharf.schema.objects.RelayRoute;
 import org.geraniumwharf.schema.objects.RelayService;
@@ -50,7 +51,8 @@
         throw ServingErrors.notReady("no configuration was published yet");
       }
     } catch (ServingException e) {
-      throw e.withRetryAfter(RETRY_UNREADY);
+      Duration left = request.patience().orElse(RETRY_UNREADY);
+      throw e.withRetryAfter(ReturnTime.after(request.id(), RETRY_UNREADY, left));
     }
     RelayTable table = targets.table();
     RelayRoute route =
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -29,6 +29,7 @@
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.RelayWork;
+import org.geraniumwharf.relay.ReturnTime;
 
 /**
  * One request of a caller from its last byte to the last byte of its answer. Confined to the event
@@ -41,6 +42,10 @@
 
   private static final Duration RETRY_NO_TARGET = Duration.ofMillis(400);
   private static final Duration RETRY_REFUSED = Duration.ofMillis(250);
+
+  /** Time in which room is expected by a request that waited in vain. */
+  private static final Duration RETRY_AFTER_WAIT = Duration.ofMillis(700);
+
   private static final long QUEUE_RETRY_MILLIS = 60;
 
   private final RelayFront front;
@@ -139,7 +144,7 @@
     if (!isAnyLeft) {
       refuse(
           ServingErrors.noTarget(work.route().name())
-              .withRetryAfter(RelayFront.retryAfter(RETRY_NO_TARGET, left)));
+              .withRetryAfter(ReturnTime.after(read.id(), RETRY_NO_TARGET, left)));
       return;
     }
     RelayQueue.Admission<RelayExchange> admission =
@@ -169,7 +174,7 @@
 
   private void giveUpWaiting() {
     if (!isDone && place.isPresent()) {
-      refuseOverloaded(RETRY_REFUSED, Duration.between(front.now(), work.deadline()));
+      refuseOverloaded(RETRY_AFTER_WAIT, Duration.between(front.now(), work.deadline()));
     }
   }
 
@@ -177,7 +182,7 @@
     refuse(
         ServingErrors.overloaded(
             "every target of " + work.service().name() + " is busy",
-            RelayFront.retryAfter(expected, left)));
+            ReturnTime.after(read.id(), expected, left)));
   }
 
   private void leaveQueue() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
@@ -193,10 +192,4 @@
         .limit(WOKEN_AT_ONCE)
         .forEach(waiting -> waiting.item().wake());
   }
-
-  /** Returns the time after which a caller should ask again, within what it has left. */
-  static Duration retryAfter(Duration expected, Duration left) {
-    Duration bound = left.dividedBy(3);
-    return expected.compareTo(bound) < 0 ? expected : bound;
-  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -66,14 +66,11 @@
 
   private void accept(SocketChannel channel) {
     RelayLimits limits = front.admission().targets().table().limits().orElse(DEFAULT_LIMITS);
+    LoopDelay delay =
+        delays.computeIfAbsent(channel.eventLoop(), loop -> LoopDelay.measure(loop, front.clock()));
     CallerConnection connection =
         new CallerConnection(
-            front,
-            targetsOf(channel),
-            delays.computeIfAbsent(
-                channel.eventLoop(), loop -> LoopDelay.measure(loop, front.clock())),
-            () -> isLeaving,
-            limits.maxHeaderBytes());
+            front, targetsOf(channel), delay, () -> isLeaving, limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
     long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
@@ -82,6 +79,7 @@
         .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
         .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
+        .addLast(new LateRequestHandler(delay, front.log()))
         .addLast(connection);
   }
 
