--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementLoadTest.java
@@ -0,0 +1,69 @@
+package org.geraniumwharf.relay;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays the load of a day of quotes over instances that learn of each other's work late. The
+ * rates and goals are those that the users of the deployment state.
+ */
+class RelayPlacementLoadTest {
+
+  private static final int INSTANCES = 6;
+  private static final int ENGINES = 13;
+  private static final int CLUMP = 3;
+  private static final double SWING = 0.55;
+  private static final Duration WAVE = Duration.ofSeconds(13);
+  private static final double BURST = 1.7;
+  private static final Duration BURST_LENGTH = Duration.ofSeconds(3);
+  private static final double GOAL_SHARE = 0.95;
+  private static final double QUERY_GOAL_MILLIS = 300;
+  private static final double CHECK_GOAL_MILLIS = 400;
+
+  @Test
+  void should_begin_short_answers_within_their_goals_on_a_wave_with_clumps() {
+    LongStream.range(0, 5)
+        .forEach(
+            seed -> {
+              SimulatedFleet fleet = new SimulatedFleet(seed, INSTANCES, ENGINES);
+
+              fleet.play(kinds(1), WAVE, SWING, CLUMP);
+
+              assertGoals(fleet, seed);
+            });
+  }
+
+  @Test
+  void should_begin_short_answers_within_their_goals_in_a_burst() {
+    LongStream.range(0, 5)
+        .forEach(
+            seed -> {
+              SimulatedFleet fleet = new SimulatedFleet(seed, INSTANCES, ENGINES);
+
+              fleet.play(kinds(BURST), BURST_LENGTH, 0, CLUMP);
+
+              assertGoals(fleet, seed);
+            });
+  }
+
+  private static List<SimulatedFleet.Kind> kinds(double load) {
+    return List.of(
+        new SimulatedFleet.Kind("draft", 34.4 * load, 9122, 2870, 380, 0.55),
+        new SimulatedFleet.Kind("query", 65.3 * load, 650, 177, 290, 0.6),
+        new SimulatedFleet.Kind("check", 83.1 * load, 1861, 507, 23, 0.6));
+  }
+
+  private static void assertGoals(SimulatedFleet fleet, long seed) {
+    assertGoal(fleet, "query", QUERY_GOAL_MILLIS, seed);
+    assertGoal(fleet, "check", CHECK_GOAL_MILLIS, seed);
+  }
+
+  private static void assertGoal(SimulatedFleet fleet, String kind, double goal, long seed) {
+    double millis = fleet.firstTokenMillis(kind, GOAL_SHARE);
+    assertTrue(millis <= goal, kind + " took " + millis + " ms with seed " + seed);
+  }
+}
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/Works.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/Works.java
@@ -43,7 +43,11 @@
   }
 
   static RelayWork plain(String requestId) {
-    RelayWork work = plain(Execution.IDEMPOTENT);
+    return renamed(plain(Execution.IDEMPOTENT), requestId);
+  }
+
+  /** Returns the same work under another id of its request. */
+  static RelayWork renamed(RelayWork work, String requestId) {
     RelayRequest request = work.request();
     RelayRequest renamed =
         new RelayRequest(
