End a watch at once that comes before the control instance is open

Change: the accepting side closes the connection of such a watch, and the watcher goes on to the next instance after its usual pause. PeerServiceTest fails before and passes now.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -134,6 +134,7 @@
     while (clock.instant().isBefore(lastFresh.plus(STALE))) {
       ControlAnswer message = queue.poll(POLL.toMillis(), TimeUnit.MILLISECONDS);
       if (message == END_OF_STREAM) {
+        TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
         break;
       }
       if (message != null) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerService.java
@@ -21,7 +21,10 @@
     this.log = log;
   }
 
-  /** Starts to serve; until a control instance is set, calls are answered as not the leader. */
+  /**
+   * Starts to serve. Until a control instance is set, calls are answered as not the leader and
+   * watches end at once, so that the watcher moves on.
+   */
   public static PeerService start(PeerNetwork network, InetSocketAddress address, EventLog log)
       throws IOException {
     PeerService service = new PeerService(log);
@@ -36,9 +39,7 @@
   @Override
   public void received(PeerConnection connection, long correlation, PeerMessage message) {
     if (control.isEmpty()) {
-      if (correlation > 0) {
-        connection.answer(correlation, NotLeader.of(Optional.empty()));
-      }
+      refuse(connection, correlation, message);
       return;
     }
     if (message instanceof RaftMessage raft) {
@@ -51,6 +52,14 @@
     }
   }
 
+  private static void refuse(PeerConnection connection, long correlation, PeerMessage message) {
+    if (correlation > 0) {
+      connection.answer(correlation, NotLeader.of(Optional.empty()));
+    } else if (message instanceof WatchCall) {
+      connection.close();
+    }
+  }
+
   private void receiveRaft(PeerConnection connection, RaftMessage message) {
     if (message.from().equals(connection.remote())) {
       control.orElseThrow().receive(message);
