Say once what stood several times: daemon threads, listening sockets, announced addresses, lines of an exchange

Change: DaemonThreads, HttpListener, AnnouncedAddress, ControlOptions.MEMBERS_BY_OPERATORS in place of a second constructor, OpenedControl.withoutInstances, ExchangeLog and RelayDrain. Behaviour as before.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstances.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstances.java
@@ -59,7 +59,7 @@
   /** A data folder that was read and belongs to this process. */
   public static final class OpenedControl implements AutoCloseable {
 
-    private ControlOptions options;
+    private final ControlOptions options;
     private final EventLog log;
     private final DataFolder folder;
     private final FileReplicaStorage.Opened opened;
@@ -77,9 +77,9 @@
       return opened.recovered().isNew();
     }
 
-    /** Starts without any member, as an instance that joins a group which it does not know. */
-    public void forgetInstances() {
-      options = options.withInstances(List.of());
+    /** Returns the same folder for an instance that joins a group which it does not know. */
+    public OpenedControl withoutInstances() {
+      return new OpenedControl(options.withInstances(List.of()), log, folder, opened);
     }
 
     /**
@@ -122,7 +122,7 @@
               recovered.entries(),
               opened.storage(),
               new SplittableRandom(new SecureRandom().nextLong()),
-              options.tolerated() > 0
+              options.tolerated() > ControlOptions.MEMBERS_BY_OPERATORS
                   ? MemberRules.tolerating(options.tolerated())
                   : MemberRules.manual());
       return RaftCore.create(start, clock.instant());
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
@@ -18,7 +18,8 @@
  * @param runRetention time a finished run is kept
  * @param maxRuns most finished runs kept
  * @param tolerated instances that may be lost at once without losing what was acknowledged, where
- *     the group replaces silent instances by itself; 0 where operators change its members
+ *     the group replaces silent instances by itself; {@link #MEMBERS_BY_OPERATORS} where it does
+ *     not
  */
 public record ControlOptions(
     String name,
@@ -33,6 +34,9 @@
     int maxRuns,
     int tolerated) {
 
+  /** In place of {@link #tolerated}: operators change the members of the group. */
+  public static final int MEMBERS_BY_OPERATORS = 0;
+
   public ControlOptions {
     instances = List.copyOf(instances);
   }
@@ -52,30 +56,4 @@
         maxRuns,
         tolerated);
   }
-
-  /** A control instance of a group whose members operators change. */
-  public ControlOptions(
-      String name,
-      List<String> instances,
-      Path dataFolder,
-      Duration heartbeat,
-      Duration election,
-      int snapshotEntries,
-      Duration targetLease,
-      Duration daemonLease,
-      Duration runRetention,
-      int maxRuns) {
-    this(
-        name,
-        instances,
-        dataFolder,
-        heartbeat,
-        election,
-        snapshotEntries,
-        targetLease,
-        daemonLease,
-        runRetention,
-        maxRuns,
-        0);
-  }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -59,7 +59,8 @@
           Duration.ofSeconds(5),
           Duration.ofSeconds(5),
           Duration.ofHours(1),
-          1000);
+          1000,
+          ControlOptions.MEMBERS_BY_OPERATORS);
 
   private final SplittableRandom random;
   private final ControlState state = ControlState.empty();
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -52,7 +52,8 @@
           Duration.ofSeconds(2),
           Duration.ofSeconds(5),
           Duration.ofHours(1),
-          1000);
+          1000,
+          ControlOptions.MEMBERS_BY_OPERATORS);
 
   private final FakeStorage storage = new FakeStorage();
   private final ReplicaRunner runner = start();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -20,6 +20,7 @@
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.logging.EventHistory;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.internal.transport.PeerNetwork;
@@ -84,12 +85,7 @@
   @Provides
   @Singleton
   ExecutorService workers() {
-    return Executors.newCachedThreadPool(
-        work -> {
-          Thread thread = new Thread(work, "worker");
-          thread.setDaemon(true);
-          return thread;
-        });
+    return Executors.newCachedThreadPool(work -> DaemonThreads.create(work, "worker"));
   }
 
   @Provides
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
@@ -23,6 +23,7 @@
 import org.geraniumwharf.internal.serving.CacheEventPoller;
 import org.geraniumwharf.internal.serving.KeptCache;
 import org.geraniumwharf.internal.serving.RunRecorder;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.internal.transport.PeerNetwork;
 import org.geraniumwharf.internal.transport.PeerService;
@@ -127,8 +128,8 @@
       membership.local(instance);
     }
     membership.start();
-    startThread(recorder, "run-recorder");
-    startThread(cacheEvents, "cache-events");
+    DaemonThreads.start(recorder, "run-recorder");
+    DaemonThreads.start(cacheEvents, "cache-events");
     log.info(
         Event.of("daemon-started")
             .with("name", name)
@@ -139,12 +140,6 @@
             .with("peer", settings.listen().peer()));
   }
 
-  private static void startThread(Runnable work, String name) {
-    Thread thread = new Thread(work, name);
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   private void registerGauges() {
     metrics.gauge("in_flight", gate::inFlight);
     metrics.gauge("configuration_version", () -> fleet.current().configuration().version());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
@@ -92,7 +92,8 @@
         Duration.ofMillis(control.targetLeaseMillis()),
         Duration.ofMillis(control.daemonLeaseMillis()),
         Duration.ofSeconds(control.runRetentionSeconds()),
-        control.maxRuns());
+        control.maxRuns(),
+        ControlOptions.MEMBERS_BY_OPERATORS);
   }
 
   /** Hands leadership over, stops and releases the data folder. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import org.geraniumwharf.admission.OrganisationLimiter;
 import org.geraniumwharf.control.ControlInstance;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.DaemonStatus;
@@ -78,15 +79,8 @@
   }
 
   public void start() {
-    watcherThread = startThread(watcher, "view-watcher");
-    heartbeatThread = startThread(heartbeats, "heartbeats");
-  }
-
-  private static Thread startThread(Runnable work, String name) {
-    Thread thread = new Thread(work, name);
-    thread.setDaemon(true);
-    thread.start();
-    return thread;
+    watcherThread = DaemonThreads.start(watcher, "view-watcher");
+    heartbeatThread = DaemonThreads.start(heartbeats, "heartbeats");
   }
 
   public Readiness readiness() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ApiServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/ApiServer.java
@@ -1,16 +1,11 @@
 package org.geraniumwharf.internal.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -65,27 +60,17 @@
   public static void start(
       EventLoopGroup loops, InetSocketAddress address, ApiHandler handler, EventLog log)
       throws InterruptedException {
-    new ServerBootstrap()
-        .group(loops)
-        .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childHandler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS, TimeUnit.SECONDS))
-                    .addLast(new HttpServerCodec())
-                    .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
-                    .addLast(new Connection(handler, log));
-              }
-            })
-        .bind(address)
-        .sync();
+    HttpListener.open(
+        loops,
+        address,
+        BACKLOG,
+        channel ->
+            channel
+                .pipeline()
+                .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS, TimeUnit.SECONDS))
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+                .addLast(new Connection(handler, log)));
   }
 
   private static final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/logging/BoundedEventLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/logging/BoundedEventLog.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 
@@ -25,9 +26,7 @@
   /** Starts the thread that writes. */
   public static BoundedEventLog before(EventLog next) {
     BoundedEventLog log = new BoundedEventLog(next);
-    Thread thread = new Thread(log::writeAll, "event-log");
-    thread.setDaemon(true);
-    thread.start();
+    DaemonThreads.start(log::writeAll, "event-log");
     return log;
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.internal.relay.TargetCalls;
 import org.geraniumwharf.schema.targets.Announcement;
@@ -28,7 +29,7 @@
    * @throws IOException if it does not answer
    */
   OrderProtocol.EngineReport report(Announcement engine) throws IOException, InterruptedException {
-    TargetCalls.Reply reply = call(engine, protocol.report(address(engine)));
+    TargetCalls.Reply reply = call(engine, protocol.report(AnnouncedAddress.hostAndPort(engine)));
     if (reply.status() != OK) {
       throw new IOException("the report has status " + reply.status());
     }
@@ -44,19 +45,18 @@
    */
   int order(Announcement engine, OrderProtocol.WeightsOrder order)
       throws IOException, InterruptedException {
-    return call(engine, protocol.order(address(engine), order)).status();
+    return call(engine, protocol.order(AnnouncedAddress.hostAndPort(engine), order)).status();
   }
 
   private TargetCalls.Reply call(Announcement engine, FullHttpRequest request)
       throws IOException, InterruptedException {
     try {
-      return calls.call(ControlDirectory.parseAddress(address(engine)), request, TIMEOUT).get();
+      return calls
+          .call(
+              ControlDirectory.parseAddress(AnnouncedAddress.hostAndPort(engine)), request, TIMEOUT)
+          .get();
     } catch (ExecutionException e) {
       throw new IOException(e.getCause().getMessage(), e.getCause());
     }
   }
-
-  private static String address(Announcement engine) {
-    return engine.address().substring(engine.address().indexOf("//") + 2);
-  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -33,6 +33,7 @@
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.Relay;
 import org.geraniumwharf.internal.relay.TargetCalls;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.internal.transport.PeerNetwork;
@@ -63,13 +64,6 @@
   private static final Duration RUN_RETENTION = Duration.ofHours(1);
   private static final int MAX_RUNS = 1000;
 
-  /** Time in which the balancer notices that the node is no longer ready. */
-  private static final Duration NOTICE = Duration.ofMillis(2600);
-
-  /** Part of the grace time in which requests under way may still end. */
-  private static final double DRAIN_SHARE = 0.87;
-
-  private static final Duration POLL = Duration.ofMillis(40);
   private static final Duration CONTROL_STOP = Duration.ofSeconds(2);
 
   private final NodeSettings settings;
@@ -90,7 +84,6 @@
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
   private final RelayLoadTable load = RelayLoadTable.create();
   private final FleetMembership membership;
-  private Optional<ControlInstances.OpenedControl> opened = Optional.empty();
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
 
@@ -195,24 +188,20 @@
 
   private void startControl(PeerService peers) throws ControlException, InterruptedException {
     Path folder = settings.dataFolder().orElseThrow();
-    opened = Optional.of(ControlInstances.open(options(folder), log));
-    ControlInstances.OpenedControl control = opened.get();
+    ControlInstances.OpenedControl opened = ControlInstances.open(options(folder), log);
     boolean isFounder = settings.isBootstrap() && settings.seeds().contains(settings.peer());
-    if (control.isNew() && !isFounder) {
-      control.forgetInstances();
-    }
+    boolean isJoining = opened.isNew() && !isFounder;
+    ControlInstances.OpenedControl control = isJoining ? opened.withoutInstances() : opened;
     ControlInstance started =
-        control.start(
-            (to, message) -> links.send(to, (PeerMessage) message),
-            clock,
-            control.isNew() && !isFounder);
+        control.start((to, message) -> links.send(to, (PeerMessage) message), clock, isJoining);
     instance = Optional.of(started);
     peers.control(started);
     membership.local(started);
-    startThread(new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner");
+    DaemonThreads.start(
+        new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner");
     ControlService service =
         new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
-    startThread(weightsRollout(started, service), "weights-rollout");
+    DaemonThreads.start(weightsRollout(started, service), "weights-rollout");
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
   }
 
@@ -276,12 +265,6 @@
     return ApiServer.ApiAnswer.text(200, text);
   }
 
-  private static void startThread(Runnable work, String name) {
-    Thread thread = new Thread(work, name);
-    thread.setDaemon(true);
-    thread.start();
-  }
-
   private void logConfiguration(FleetSnapshot before, FleetSnapshot after) {
     if (before.configuration().version() != after.configuration().version()) {
       log.info(
@@ -303,7 +286,7 @@
     log.info(Event.of("shutdown-started").with("inFlight", inFlight()));
     membership.readiness().leaving();
     membership.changed();
-    relay.ifPresent(running -> drain(running, begun));
+    relay.ifPresent(running -> RelayDrain.drain(running, settings.grace(), begun, clock));
     instance.ifPresent(NodeRuntime::stopControl);
     membership.stop();
     links.close();
@@ -319,31 +302,7 @@
             .join();
   }
 
-  private void drain(Relay running, Instant begun) {
-    running.leave();
-    Duration whole = settings.grace().multipliedBy((long) (DRAIN_SHARE * 100)).dividedBy(100);
-    Instant end = begun.plus(whole);
-    Instant noticeEnd = begun.plus(NOTICE);
-    while (clock.instant().isBefore(noticeEnd)) {
-      pause();
-    }
-    while (running.inFlight() > 0 && clock.instant().isBefore(end)) {
-      running.closeIdle();
-      pause();
-    }
-    running.closeIdle();
-    pause();
-  }
-
   private int inFlight() {
     return relay.map(Relay::inFlight).orElse(0);
   }
-
-  private static void pause() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(POLL.toMillis());
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -0,0 +1,49 @@
+package org.geraniumwharf.internal.node;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.internal.relay.Relay;
+
+/** Lets a relay finish what it has begun before its process stops. */
+final class RelayDrain {
+
+  /** Time in which the balancer notices that the node is no longer ready. */
+  private static final Duration NOTICE = Duration.ofMillis(2600);
+
+  /** Part of the grace time in which requests under way may still end, per cent. */
+  private static final int DRAIN_PERCENT = 87;
+
+  private static final Duration POLL = Duration.ofMillis(40);
+
+  private RelayDrain() {}
+
+  /**
+   * Accepts until the balancer has noticed, then waits for the requests under way.
+   *
+   * @param grace time from {@code begun} after which the process is killed
+   */
+  static void drain(Relay relay, Duration grace, Instant begun, InstantSource clock) {
+    relay.leave();
+    Instant end = begun.plus(grace.multipliedBy(DRAIN_PERCENT).dividedBy(100));
+    Instant noticeEnd = begun.plus(NOTICE);
+    while (clock.instant().isBefore(noticeEnd)) {
+      pause();
+    }
+    while (relay.inFlight() > 0 && clock.instant().isBefore(end)) {
+      relay.closeIdle();
+      pause();
+    }
+    relay.closeIdle();
+    pause();
+  }
+
+  private static void pause() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(POLL.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -14,7 +14,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -22,7 +21,6 @@
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
-import org.geraniumwharf.relay.PromptPart;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -198,7 +196,7 @@
     RelayLoadTable.Run run = front.load().sent(target, work, choice.firstTokenMillis());
     TargetCall next = new TargetCall(this, target, run);
     call = Optional.of(next);
-    logDecision(choice, now);
+    ExchangeLog.decision(front, work, sends + 1, choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
     caller
         .targets()
@@ -474,7 +472,8 @@
     front.inFlight().decrementAndGet();
     Instant now = front.now();
     front.metrics().requestEnded(Duration.between(read.arrivedAt(), now));
-    logEnd(outcome, target, cause, now);
+    ExchangeLog.End end = new ExchangeLog.End(outcome, target, sends, firstByteAt, cause);
+    ExchangeLog.end(front.log(), read, Optional.ofNullable(work), end, now);
   }
 
   private void leaveQueueIfAdmitted() {
@@ -482,49 +481,4 @@
       leaveQueue();
     }
   }
-
-  private void logDecision(RelayPlacement.Choice choice, Instant now) {
-    front
-        .log()
-        .info(
-            Event.of("relay-decision")
-                .with("request", read.id())
-                .with("route", work.route().name())
-                .with("target", choice.target().id())
-                .with("attempt", sends + 1)
-                .with("costMillis", Math.round(choice.cost()))
-                .with("promptTokens", read.promptTokens())
-                .with("context", context())
-                .with("keptTokens", choice.keptTokens())
-                .with("storedTokens", choice.storedTokens())
-                .with("inFlight", choice.load().inFlight())
-                .with("footprint", choice.load().footprint())
-                .with("backlogMillis", choice.load().backlogMillis())
-                .with("waitedMillis", Duration.between(read.arrivedAt(), now).toMillis())
-                .with("view", front.admission().targets().view().index()));
-  }
-
-  private String context() {
-    List<PromptPart> shared = work.sharedParts();
-    return shared.isEmpty() ? "none" : shared.get(shared.size() - 1).id();
-  }
-
-  private void logEnd(String outcome, String target, String cause, Instant now) {
-    front
-        .log()
-        .info(
-            Event.of("relay-end")
-                .with("request", read.id())
-                .with("route", work == null ? "none" : work.route().name())
-                .with("outcome", outcome)
-                .with("target", target)
-                .with("sends", sends)
-                .with(
-                    "firstByteMillis",
-                    firstByteAt
-                        .map(at -> Duration.between(read.arrivedAt(), at).toMillis())
-                        .orElse(-1L))
-                .with("millis", Duration.between(read.arrivedAt(), now).toMillis())
-                .with("cause", cause));
-  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -1,13 +1,9 @@
 package org.geraniumwharf.internal.relay;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -16,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.internal.http.HttpListener;
 import org.geraniumwharf.schema.objects.RelayLimits;
 
 /** Accepts callers. */
@@ -46,22 +43,7 @@
 
   /** Starts to accept connections. */
   void start(InetSocketAddress address) throws InterruptedException {
-    new ServerBootstrap()
-        .group(loops)
-        .channel(NioServerSocketChannel.class)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.SO_KEEPALIVE, true)
-        .childHandler(
-            new ChannelInitializer<SocketChannel>() {
-              @Override
-              protected void initChannel(SocketChannel channel) {
-                accept(channel);
-              }
-            })
-        .bind(address)
-        .sync();
+    HttpListener.open(loops, address, BACKLOG, this::accept);
   }
 
   private void accept(SocketChannel channel) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTargets.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTargets.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.RelayTarget;
@@ -56,7 +57,7 @@
     RelayTarget target =
         new RelayTarget(
             announcement.id(),
-            announcement.address().substring(announcement.address().indexOf("//") + 2),
+            AnnouncedAddress.hostAndPort(announcement),
             announcement.dataCentre(),
             announcement.slots(),
             announcement.loaded().stream().findFirst().map(RelayTargets::version).orElse(0L));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/KeptCache.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/KeptCache.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.internal.target.CacheTransferClient;
 import org.geraniumwharf.internal.target.StoreClient;
 import org.geraniumwharf.internal.target.TargetCallException;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.keptcache.ExportRule;
 import org.geraniumwharf.keptcache.KeptPrefix;
 import org.geraniumwharf.keptcache.LinkTable;
@@ -95,9 +96,7 @@
   }
 
   private static Thread newThread(Runnable work) {
-    Thread thread = new Thread(work, "cache-export");
-    thread.setDaemon(true);
-    return thread;
+    return DaemonThreads.create(work, "cache-export");
   }
 
   /** Counts a request, and learns from it whether contexts return. */
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/threads/package-info.java
@@ -0,0 +1,2 @@
+/** Threads of the daemon. */
+package org.geraniumwharf.internal.threads;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerConnection.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.ControlAnswer;
@@ -77,14 +78,8 @@
   }
 
   void start() {
-    startThread(this::readAll, "peer-read-" + remote);
-    startThread(this::writeAll, "peer-write-" + remote);
-  }
-
-  private static void startThread(Runnable work, String name) {
-    Thread thread = new Thread(work, name);
-    thread.setDaemon(true);
-    thread.start();
+    DaemonThreads.start(this::readAll, "peer-read-" + remote);
+    DaemonThreads.start(this::writeAll, "peer-write-" + remote);
   }
 
   /** Returns the authenticated name of the other side. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerNetwork.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerNetwork.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.BooleanSupplier;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.HelloAccepted;
@@ -128,9 +129,7 @@
   }
 
   private static Thread newThread(Runnable work) {
-    Thread thread = new Thread(work, "peer-handshake");
-    thread.setDaemon(true);
-    return thread;
+    return DaemonThreads.create(work, "peer-handshake");
   }
 
   @Override
