Close connections whose request heads do not end in time

Cause: the limit on the time of a request's head was published, checked and read back, but nothing kept it; a caller that sends a head byte by byte held its connection for as long as the idle timeout was not reached. Change: HeadTimeoutHandler counts from the first byte of a head that does not come whole, and closes.

--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/HeadTimeoutHandler.java
@@ -0,0 +1,88 @@
+package org.geraniumwharf.internal.relay;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.logging.EventLog;
+
+/**
+ * Closes a connection whose caller takes too long to send the head of a request. It stands before
+ * the codec and sees bytes; {@link #afterCodec} stands behind it and sees what they became. A head
+ * that comes whole costs no timer. Confined to the event loop of its connection.
+ */
+final class HeadTimeoutHandler extends ChannelInboundHandlerAdapter {
+
+  private final Duration timeout;
+  private final EventLog log;
+  private boolean isHeadOpen;
+  private boolean isBodyOpen;
+  private Optional<ScheduledFuture<?>> timer = Optional.empty();
+
+  HeadTimeoutHandler(Duration timeout, EventLog log) {
+    this.timeout = timeout;
+    this.log = log;
+  }
+
+  /** Returns the part that stands behind the codec. */
+  ChannelInboundHandler afterCodec() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof HttpRequest) {
+          headEnded();
+        }
+        if (message instanceof LastHttpContent) {
+          isBodyOpen = false;
+        }
+        context.fireChannelRead(message);
+      }
+    };
+  }
+
+  private void headEnded() {
+    isHeadOpen = false;
+    isBodyOpen = true;
+    stopTimer();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object bytes) {
+    isHeadOpen = !isBodyOpen;
+    context.fireChannelRead(bytes);
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (isHeadOpen && timer.isEmpty()) {
+      timer =
+          Optional.of(
+              context
+                  .executor()
+                  .schedule(() -> giveUp(context), timeout.toMillis(), TimeUnit.MILLISECONDS));
+    }
+    context.fireChannelReadComplete();
+  }
+
+  private void giveUp(ChannelHandlerContext context) {
+    log.info(Event.of("caller-head-late").with("timeoutMillis", timeout.toMillis()));
+    var unused = context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    stopTimer();
+    context.fireChannelInactive();
+  }
+
+  private void stopTimer() {
+    timer.ifPresent(running -> running.cancel(false));
+    timer = Optional.empty();
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -55,11 +56,15 @@
             front, targetsOf(channel), delay, () -> isLeaving, limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
+    HeadTimeoutHandler heads =
+        new HeadTimeoutHandler(Duration.ofMillis(limits.headerTimeoutMillis()), front.log());
     long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
     channel
         .pipeline()
         .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+        .addLast(heads)
         .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
+        .addLast(heads.afterCodec())
         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
         .addLast(new LateRequestHandler(delay, front.log()))
         .addLast(connection);
