Hash each name once in a choice of a target

Cause: drawing the compared targets put a hash of request and target names into a comparator, so a choice among thirteen made some hundred hashes of joined strings; a process that has just started interprets all of that. Change: the hash of the request and that of each target are made once and combined as numbers. RelayPlacementLoadTest and RelayPlacementTest pass.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/routing/RendezvousHash.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/routing/RendezvousHash.java
@@ -55,7 +55,12 @@
     return HASHER.hashCharsToLong(text);
   }
 
+  /** Returns the weight of a target for a key, both as hashes of their names. */
+  public static long weight(long targetHash, long key) {
+    return HASHER.hashLongLongToLong(targetHash, key);
+  }
+
   private static long weight(RoutableTarget target, long key) {
-    return HASHER.hashLongLongToLong(target.hash(), key);
+    return weight(target.hash(), key);
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -109,6 +109,8 @@
     return compared(work, open, home, instances).min(Comparator.comparingDouble(Choice::cost));
   }
 
+  private record Drawn(Choice choice, double turn) {}
+
   /** The fewer instances there are, the less of the load is unknown to this one. */
   private static Stream<Choice> compared(
       RelayWork work, List<Choice> open, String home, int instances) {
@@ -117,10 +119,13 @@
     if (!work.isGeneration() || open.size() <= most) {
       return open.stream();
     }
+    long key = RendezvousHash.keyOf(work.request().id());
     Stream<Choice> drawn =
         open.stream()
-            .sorted(Comparator.comparingDouble(choice -> turn(work, choice.target())))
-            .limit(most);
+            .map(choice -> new Drawn(choice, turn(choice.target(), key)))
+            .sorted(Comparator.comparingDouble(Drawn::turn))
+            .limit(most)
+            .map(Drawn::choice);
     Stream<Choice> keeping =
         open.stream()
             .filter(
@@ -154,12 +159,13 @@
   }
 
   private static double plain(RelayWork work, RelayTarget target, RelayLoadTable.Load load) {
-    return load.inFlight() * MILLIS_PER_PLAIN + SPREAD_MILLIS * turn(work, target);
+    long key = RendezvousHash.keyOf(work.request().id());
+    return load.inFlight() * MILLIS_PER_PLAIN + SPREAD_MILLIS * turn(target, key);
   }
 
   /** Returns a number from 0 to 1 that differs between requests and targets. */
-  private static double turn(RelayWork work, RelayTarget target) {
-    return RendezvousHash.fraction(weight(work.request().id(), target.id()));
+  private static double turn(RelayTarget target, long requestKey) {
+    return RendezvousHash.fraction(weight(target, requestKey));
   }
 
   /** Estimates the time that a target needs for the first token of a request alone, ms. */
@@ -190,14 +196,20 @@
       return "";
     }
     List<PromptPart> shared = work.sharedParts();
-    String context = shared.get(shared.size() - 1).id();
-    return targets.stream()
-        .map(RelayTarget::id)
-        .max(Comparator.comparingLong(id -> weight(context, id)))
-        .orElse("");
+    long key = RendezvousHash.keyOf(shared.get(shared.size() - 1).id());
+    String home = "";
+    long greatest = Long.MIN_VALUE;
+    for (RelayTarget target : targets) {
+      long weight = weight(target, key);
+      if (home.isEmpty() || weight > greatest) {
+        home = target.id();
+        greatest = weight;
+      }
+    }
+    return home;
   }
 
-  private static long weight(String context, String target) {
-    return RendezvousHash.keyOf(context + '@' + target);
+  private static long weight(RelayTarget target, long key) {
+    return RendezvousHash.weight(RendezvousHash.keyOf(target.id()), key);
   }
 }
