Let a leader that comes late make up for a rollout of weights in waves

Change: WavePlanner bounds what swaps at once by the time for which this leader may give orders, besides the time since the weights were named.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/WavePlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/WavePlanner.java
@@ -29,20 +29,33 @@
   /**
    * Returns the engines that take the weights now.
    *
-   * @param elapsed time since the weights were named
+   * @param sinceNamed time since the weights were named
+   * @param sinceOrdering time for which this leader may give orders; one that comes late makes up
+   *     for it in waves, not at once
    */
-  public static List<String> next(List<EngineProgress> engines, Duration elapsed) {
+  public static List<String> next(
+      List<EngineProgress> engines, Duration sinceNamed, Duration sinceOrdering) {
     int waveSize = (engines.size() + WAVES - 1) / WAVES;
-    long waves = 1 + Math.max(0, elapsed.toMillis()) / BETWEEN_WAVES.toMillis();
-    long allowed = Math.min(engines.size(), waves * waveSize);
-    long begun =
-        engines.stream().filter(engine -> engine.isCurrent() || engine.isSwapping()).count();
+    long allowed = Math.min(engines.size(), waves(sinceNamed) * waveSize);
+    long mostSwapping = waves(sinceOrdering) * waveSize;
+    long current = engines.stream().filter(EngineProgress::isCurrent).count();
+    long swapping = engines.stream().filter(WavePlanner::isOnlySwapping).count();
     List<String> next = new ArrayList<>();
     for (EngineProgress engine : engines) {
-      if (!engine.isCurrent() && !engine.isSwapping() && begun + next.size() < allowed) {
+      long swappingThen = swapping + next.size();
+      boolean isRoom = swappingThen < mostSwapping && current + swappingThen < allowed;
+      if (isRoom && !engine.isCurrent() && !engine.isSwapping()) {
         next.add(engine.id());
       }
     }
     return next;
   }
+
+  private static boolean isOnlySwapping(EngineProgress engine) {
+    return engine.isSwapping() && !engine.isCurrent();
+  }
+
+  private static long waves(Duration elapsed) {
+    return 1 + Math.max(0, elapsed.toMillis()) / BETWEEN_WAVES.toMillis();
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -86,9 +86,12 @@
     return instance
         .leadership(now)
         .filter(leading -> leading.confirmedAge().compareTo(MAX_CONFIRMED_AGE) < 0)
-        .filter(
-            leading ->
-                leading.isFirst() || !now.isBefore(leading.since().plus(REST_OF_NEW_LEADER)));
+        .filter(leading -> !now.isBefore(ordersFrom(leading)));
+  }
+
+  /** Returns the time from which a leader may give orders. */
+  private static Instant ordersFrom(Leadership leading) {
+    return leading.isFirst() ? leading.since() : leading.since().plus(REST_OF_NEW_LEADER);
   }
 
   private void startSwaps(Leadership leading, Instant now) {
@@ -101,8 +104,9 @@
               .ifPresent(version -> engines.add(progress(record, named, version)));
         }
       }
-      Duration elapsed = Duration.between(Instant.ofEpochMilli(named.atMillis()), now);
-      for (String id : WavePlanner.next(engines, elapsed)) {
+      Duration sinceNamed = Duration.between(Instant.ofEpochMilli(named.atMillis()), now);
+      Duration sinceOrdering = Duration.between(ordersFrom(leading), now);
+      for (String id : WavePlanner.next(engines, sinceNamed, sinceOrdering)) {
         startSwap(view.target(id).orElseThrow().announcement(), named, leading);
       }
     }
