--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -22,7 +22,10 @@
  */
 public final class RelayPlacement {
 
+  /** Prompt that an engine reads, tokens in a ms, as the operators of the engines state it. */
   private static final double PREFILL_TOKENS_PER_MILLI = 140;
+
+  /** Kept cache that a link of the stated bandwidth carries to an engine, tokens in a ms. */
   private static final double FETCHED_TOKENS_PER_MILLI = 240;
 
   /** Time that an engine needs for a request besides reading its prompt, ms. */
@@ -31,6 +34,7 @@
   /** Time that one more running request costs another, ms. */
   private static final double MILLIS_PER_RUNNING = 2;
 
+  /** Time that a request under way at a plain target costs the next one, ms. */
   private static final double MILLIS_PER_PLAIN = 20;
 
   /** Share of a context that its home is expected to keep although this instance never sent it. */
@@ -45,6 +49,7 @@
   /** Targets compared, relative to the targets that each instance has for itself in the mean. */
   private static final int COMPARED_PER_SHARE = 2;
 
+  /** Way to a target in another data centre and back, ms. */
   private static final double OTHER_DATA_CENTRE_MILLIS = 2;
 
   /** Plain targets whose estimates differ by less than this count as equal, ms. */
@@ -109,6 +114,7 @@
     return compared(work, open, home, instances).min(Comparator.comparingDouble(Choice::cost));
   }
 
+  /** A choice with its place in the order that the hash of a request gives the targets. */
   private record Drawn(Choice choice, double turn) {}
 
   /** The fewer instances there are, the less of the load is unknown to this one. */
