Do not close a connection as idle while a late request of it is held

Cause: found in reading: while a process drains, a request that LateRequestHandler holds for a pass belonged to no exchange yet, so its connection counted as idle and could be closed with the request read and unanswered. Change: CallerConnection asks the handler whether it holds a request before it closes.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -38,7 +38,7 @@
 
   private final RelayFront front;
   private final TargetConnections targets;
-  private final LoopDelay delay;
+  private final LateRequestHandler reader;
   private final BooleanSupplier isLeaving;
   private final int headerBytes;
   private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
@@ -49,12 +49,12 @@
   CallerConnection(
       RelayFront front,
       TargetConnections targets,
-      LoopDelay delay,
+      LateRequestHandler reader,
       BooleanSupplier isLeaving,
       int headerBytes) {
     this.front = front;
     this.targets = targets;
-    this.delay = delay;
+    this.reader = reader;
     this.isLeaving = isLeaving;
     this.headerBytes = headerBytes;
   }
@@ -69,7 +69,7 @@
   }
 
   private void closeIfIdle() {
-    if (current.isEmpty()) {
+    if (current.isEmpty() && !reader.isHolding()) {
       var unusedClose = context.close();
     }
   }
@@ -97,7 +97,7 @@
       return;
     }
     try {
-      Instant arrivedAt = front.now().minus(delay.current());
+      Instant arrivedAt = front.now().minus(reader.behind());
       RelayRequest read = front.protocol().read(request, arrivedAt);
       RelayExchange exchange =
           new RelayExchange(front, this, context.channel().eventLoop(), request, read);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LateRequestHandler.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LateRequestHandler.java
@@ -31,9 +31,19 @@
     this.log = log;
   }
 
+  /** Returns how far the loop is behind. */
+  Duration behind() {
+    return delay.current();
+  }
+
+  /** Tells whether a request was read and not passed on yet. */
+  boolean isHolding() {
+    return !held.isEmpty();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (held.isEmpty() && delay.current().compareTo(BEHIND) < 0) {
+    if (held.isEmpty() && behind().compareTo(BEHIND) < 0) {
       context.fireChannelRead(message);
       return;
     }
@@ -58,7 +68,7 @@
       log.info(
           Event.of("relay-abandoned")
               .with("requests", held.size())
-              .with("behindMillis", delay.current().toMillis()));
+              .with("behindMillis", behind().toMillis()));
       held.forEach(ReferenceCountUtil::release);
       held.clear();
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -51,9 +51,10 @@
     RelayLimits limits = front.admission().targets().table().limits().orElse(DEFAULT_LIMITS);
     LoopDelay delay =
         delays.computeIfAbsent(channel.eventLoop(), loop -> LoopDelay.measure(loop, front.clock()));
+    LateRequestHandler reader = new LateRequestHandler(delay, front.log());
     CallerConnection connection =
         new CallerConnection(
-            front, targetsOf(channel), delay, () -> isLeaving, limits.maxHeaderBytes());
+            front, targetsOf(channel), reader, () -> isLeaving, limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
     HeadTimeoutHandler heads =
@@ -66,7 +67,7 @@
         .addLast(new HttpServerCodec(MAX_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
         .addLast(heads.afterCodec())
         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
-        .addLast(new LateRequestHandler(delay, front.log()))
+        .addLast(reader)
         .addLast(connection);
   }
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/LateRequestHandlerTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/LateRequestHandlerTest.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,8 +17,8 @@
 
   private Instant now = Instant.ofEpochSecond(1000);
   private final LoopDelay delay = LoopDelay.at(() -> now);
-  private final EmbeddedChannel channel =
-      new EmbeddedChannel(new LateRequestHandler(delay, EventLog.none()));
+  private final LateRequestHandler handler = new LateRequestHandler(delay, EventLog.none());
+  private final EmbeddedChannel channel = new EmbeddedChannel(handler);
 
   @Test
   void should_pass_requests_on_at_once_while_the_loop_keeps_up() {
@@ -54,6 +56,18 @@
     assertEquals("second", channel.readInbound());
   }
 
+  @Test
+  void should_tell_of_a_request_that_it_holds_so_that_the_connection_is_not_idle() {
+    fallBehind();
+    channel.writeInbound("request");
+
+    boolean isHolding = handler.isHolding();
+    pass();
+
+    assertTrue(isHolding);
+    assertFalse(handler.isHolding());
+  }
+
   private void fallBehind() {
     now = now.plusMillis(650);
   }
