Count a piece that one batch of cache events stores and removes as removed

Beside load the poller asks late, so that one answer told the pieces as stored and as removed; the table applied the removals first and then the additions, and nothing would ever correct that. The feature passes alone, where the poller has read the additions before the eviction.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/routing/TargetLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/routing/TargetLoadTable.java
@@ -112,11 +112,14 @@
     index.clear(target);
   }
 
-  /** Applies cache events of a target. */
+  /**
+   * Applies cache events of a target. They do not tell the order within a batch; a piece that is
+   * both stored and removed counts as removed, since no later event would correct that.
+   */
   public synchronized void cacheChanged(
       String target, Collection<PieceName> stored, Collection<PieceName> removed) {
-    index.remove(target, removed);
     index.add(target, stored);
+    index.remove(target, removed);
   }
 
   /** Forgets what a target holds, after a gap in its cache events. */
