Resume a begun answer also at a target that rests

The other one of two targets rested: failures that earlier tests provoke fall on either target by chance, the third in a row makes it rest for 500 ms, and the test before had just ended with one. Ruled out: the budget of repeats and no target left, which both cut at once. The product cut an answer that a resting target could have completed. Change: an answer that has begun, which can neither wait nor be refused, goes on at a resting target when no other has room (RelayPlacement.chooseEvenResting). The trace is from the times and the code; the fleet of that test writes no log.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -106,14 +106,33 @@
     String home = home(work, targets);
     List<Choice> open = new ArrayList<>();
     for (RelayTarget target : targets) {
-      if (!excluded.contains(target.id())) {
-        evaluate(work, target, home, table.load(target, work, now), storedTokens, instances)
-            .ifPresent(open::add);
+      RelayLoadTable.Load load = table.load(target, work, now);
+      if (!excluded.contains(target.id()) && !load.isResting()) {
+        evaluate(work, target, home, load, storedTokens, instances).ifPresent(open::add);
       }
     }
     return compared(work, open, home, instances).min(Comparator.comparingDouble(Choice::cost));
   }
 
+  /**
+   * Returns the cheapest target that has room, whether or not it rests, for a request that would be
+   * lost otherwise: an answer that has begun can neither wait nor be refused.
+   */
+  public Optional<Choice> chooseEvenResting(
+      RelayWork work,
+      List<RelayTarget> targets,
+      RelayLoadTable table,
+      Set<String> excluded,
+      int instances,
+      Instant now) {
+    String home = home(work, targets);
+    return targets.stream()
+        .filter(target -> !excluded.contains(target.id()))
+        .map(target -> evaluate(work, target, home, table.load(target, work, now), 0, instances))
+        .flatMap(Optional::stream)
+        .min(Comparator.comparingDouble(Choice::cost));
+  }
+
   /** A choice with its place in the order that the hash of a request gives the targets. */
   private record Drawn(Choice choice, double turn) {}
 
@@ -148,7 +167,7 @@
       RelayLoadTable.Load load,
       int storedTokens,
       int instances) {
-    if (load.isResting() || !RelayShare.hasRoom(work, target, load, instances)) {
+    if (!RelayShare.hasRoom(work, target, load, instances)) {
       return Optional.empty();
     }
     double distance = target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -133,6 +133,19 @@
     assertNotEquals(home, choose(DRAFT).orElseThrow().target());
   }
 
+  @Test
+  void should_take_a_resting_target_only_for_an_answer_that_has_begun() {
+    TARGETS.forEach(target -> load.unreachable(target.id(), Works.NOW));
+
+    Optional<RelayPlacement.Choice> resting =
+        RelayPlacement.in("dc-1")
+            .chooseEvenResting(
+                DRAFT, TARGETS, load, Set.of(TARGETS.get(0).id()), INSTANCES, Works.NOW);
+
+    assertTrue(choose(DRAFT).isEmpty());
+    assertNotEquals(TARGETS.get(0), resting.orElseThrow().target());
+  }
+
   @Test
   void should_choose_nothing_when_every_target_is_full() {
     RelayWork work = Works.plain(Execution.IDEMPOTENT);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -126,6 +126,9 @@
     boolean isTurn = place.isPresent() || !queue.mustWaitBehind(work.priority(), work.footprint());
     Optional<RelayPlacement.Choice> choice =
         isTurn ? front.choose(work, tried, now) : Optional.empty();
+    if (choice.isEmpty() && isAnswerBegun) {
+      choice = front.chooseEvenResting(work, tried, now);
+    }
     if (choice.isPresent()) {
       leaveQueue();
       send(choice.get(), now);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayFront.java
@@ -151,6 +151,13 @@
         work, targets, load, storedTokens(work, targets), tried, instances.getAsInt(), now);
   }
 
+  /** Chooses for an answer that has begun, also among targets that rest after failures. */
+  Optional<RelayPlacement.Choice> chooseEvenResting(
+      RelayWork work, Set<String> tried, Instant now) {
+    List<RelayTarget> targets = admission.targets().of(work.service().name());
+    return placement.chooseEvenResting(work, targets, load, tried, instances.getAsInt(), now);
+  }
+
   private int storedTokens(RelayWork work, List<RelayTarget> targets) {
     if (!work.isGeneration() || targets.isEmpty()) {
       return 0;
