Give a daemon an equal share at most with its first report

Cause: the whole script, run alone, failed in two scenarios of rollout.feature with one 429 each (request rate limit), far below the limit. The load begins at two daemons together; the one that reports first was given all but the reserve, so the other one held 1.7 % until the first reported again. Ruled out: the offered rate (8 callers, 16 requests a second each at most, of 500). Change: the first share that a daemon is given is at most an equal one. One test of LimitShares let a single report hold the whole; it reports twice now, its bounds are as they were.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/LimitShares.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/LimitShares.java
@@ -13,7 +13,9 @@
  * Divides the limits of organisations between the daemons that their callers use, by demand. The
  * shares in force never add up to more than the whole: a daemon's larger share is given only from
  * what the others hold no more, and a silent daemon's share is kept for it until it has certainly
- * fallen back. Kept by the leader; not safe for use by several threads.
+ * fallen back. The first share of a daemon is at most an equal one, so that daemons whose callers
+ * begin together do not find everything given away. Kept by the leader; not safe for use by several
+ * threads.
  */
 public final class LimitShares {
 
@@ -45,7 +47,9 @@
       Map<String, Grant> holders =
           grants.computeIfAbsent(demand.organisation(), name -> new HashMap<>());
       holders.values().removeIf(grant -> !now.isBefore(grant.at().plus(VALIDITY)));
-      double fraction = fractionFor(daemon, demand.requestsPerSecond(), holders);
+      boolean isFirst = !holders.containsKey(daemon);
+      double most = isFirst ? (1 - RESERVE) / Math.max(1, instances) : 1 - RESERVE;
+      double fraction = Math.min(most, fractionFor(daemon, demand.requestsPerSecond(), holders));
       holders.put(
           daemon, new Grant(fraction, Math.max(MIN_DEMAND, demand.requestsPerSecond()), now));
       shares.add(
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesTest.java
@@ -45,6 +45,7 @@
 
   @Test
   void should_keep_the_share_of_a_silent_daemon_until_it_has_fallen_back() {
+    share("daemon-0", 100, START.minusMillis(500));
     share("daemon-0", 100, START);
 
     double before = share("daemon-1", 100, START.plusSeconds(2));
@@ -54,6 +55,16 @@
     assertTrue(after > 0.9, "share " + after);
   }
 
+  @Test
+  void should_leave_equal_shares_to_daemons_whose_callers_begin_together() {
+    double first = share("daemon-0", 100, START);
+
+    double second = share("daemon-1", 100, START.plusMillis(100));
+
+    assertEquals(first, second, 1e-9);
+    assertTrue(second >= 0.95 / 4, "share " + second);
+  }
+
   /** A burst at one daemon used to be refused although the organisation was far below its limit. */
   @Test
   void should_let_a_first_burst_use_an_equal_share() {
