--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -20,6 +20,10 @@
   private final Timer firstToken = registry.timer("first_token");
   private final Timer request = registry.timer("request");
   private final Timer decision = registry.timer("decision");
+  private final Timer eventLoopLag = registry.timer("event_loop_lag");
+  private final Counter abandonedRequests = registry.counter("abandoned_requests_total");
+  private final Counter callersGoneUnsent = registry.counter("callers_gone_total.unsent");
+  private final Counter callersGoneSent = registry.counter("callers_gone_total.sent");
 
   private DaemonMetrics() {}
 
@@ -39,6 +43,25 @@
     registry.counter("errors_total." + kind.wireName()).inc();
   }
 
+  /** Records by how much an event loop lagged at a measurement. */
+  public void eventLoopLagged(Duration lag) {
+    eventLoopLag.update(lag);
+  }
+
+  /** Records requests that were read and not started, because their caller had disconnected. */
+  public void requestsAbandoned(int count) {
+    abandonedRequests.inc(count);
+  }
+
+  /**
+   * Records that a caller disconnected while its request was in flight.
+   *
+   * @param isSent whether the request had been sent to a target
+   */
+  public void callerDisconnected(boolean isSent) {
+    (isSent ? callersGoneSent : callersGoneUnsent).inc();
+  }
+
   public void retried() {
     retries.inc();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 
@@ -23,11 +24,13 @@
   private static final long NEXT_PASS_DELAY_MILLIS = 1;
 
   private final EventLoopLag loopLag;
+  private final DaemonMetrics metrics;
   private final EventLog log;
   private final Deque<Object> pending = new ArrayDeque<>();
 
-  AbandonedRequestHandler(EventLoopLag loopLag, EventLog log) {
+  AbandonedRequestHandler(EventLoopLag loopLag, DaemonMetrics metrics, EventLog log) {
     this.loopLag = loopLag;
+    this.metrics = metrics;
     this.log = log;
   }
 
@@ -66,6 +69,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     if (!pending.isEmpty()) {
+      metrics.requestsAbandoned(pending.size());
       log.info(
           Event.of("relay-abandoned")
               .with("requests", pending.size())
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventLoopLag.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventLoopLag.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Measures the lag of an event loop by a periodic task. During a burst, a request waits unread
@@ -17,17 +18,24 @@
   private static final Duration MEASUREMENT_INTERVAL = Duration.ofMillis(50);
 
   private final InstantSource clock;
+  private final Consumer<Duration> observer;
   private Instant nextRunDueAt;
   private Duration lastLag = Duration.ZERO;
 
-  private EventLoopLag(InstantSource clock) {
+  private EventLoopLag(InstantSource clock, Consumer<Duration> observer) {
     this.clock = clock;
+    this.observer = observer;
     this.nextRunDueAt = clock.instant().plus(MEASUREMENT_INTERVAL);
   }
 
-  /** Starts to measure an event loop. */
-  static EventLoopLag start(ScheduledExecutorService loop, InstantSource clock) {
-    EventLoopLag lag = new EventLoopLag(clock);
+  /**
+   * Starts to measure an event loop.
+   *
+   * @param observer receives each measurement, on the event loop
+   */
+  static EventLoopLag start(
+      ScheduledExecutorService loop, InstantSource clock, Consumer<Duration> observer) {
+    EventLoopLag lag = new EventLoopLag(clock, observer);
     var unused =
         loop.scheduleWithFixedDelay(
             () -> lag.recordRun(clock.instant()),
@@ -39,13 +47,14 @@
 
   /** Creates an instance without a periodic task; the caller invokes {@link #recordRun}. */
   static EventLoopLag unscheduled(InstantSource clock) {
-    return new EventLoopLag(clock);
+    return new EventLoopLag(clock, measured -> {});
   }
 
   /** Records that the periodic task ran. */
   void recordRun(Instant now) {
     lastLag = lagAt(now);
     nextRunDueAt = now.plus(MEASUREMENT_INTERVAL);
+    observer.accept(lastLag);
   }
 
   private Duration lagAt(Instant now) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
@@ -14,7 +14,7 @@
 /** Log events of a relayed request: each choice of a target, and the end of the request. */
 final class ExchangeLog {
 
-  private static final long NO_FIRST_BYTE = -1;
+  private static final long NEVER = -1;
 
   private ExchangeLog() {}
 
@@ -23,11 +23,19 @@
    *
    * @param target id of the last target, or {@code none}
    * @param sendCount number of targets that the request was sent to
+   * @param startedAt time when the request was read and started
+   * @param sentAt time when the request was last sent to a target
    * @param firstByteAt time when the first byte was sent to the caller
    * @param cause cause of the failure; empty if there was none
    */
   record Result(
-      String outcome, String target, int sendCount, Optional<Instant> firstByteAt, String cause) {}
+      String outcome,
+      String target,
+      int sendCount,
+      Instant startedAt,
+      Optional<Instant> sentAt,
+      Optional<Instant> firstByteAt,
+      String cause) {}
 
   /** Logs the inputs of a placement decision. */
   static void logDecision(
@@ -70,12 +78,9 @@
             .with("outcome", result.outcome())
             .with("target", result.target())
             .with("sends", result.sendCount())
-            .with(
-                "firstByteMillis",
-                result
-                    .firstByteAt()
-                    .map(at -> millisBetween(request.arrivedAt(), at))
-                    .orElse(NO_FIRST_BYTE))
+            .with("lagMillis", millisBetween(request.arrivedAt(), result.startedAt()))
+            .with("sentMillis", millisFromArrival(request, result.sentAt()))
+            .with("firstByteMillis", millisFromArrival(request, result.firstByteAt()))
             .with("millis", millisBetween(request.arrivedAt(), now))
             .with("cause", result.cause()));
   }
@@ -85,6 +90,10 @@
     return shared.isEmpty() ? "none" : shared.get(shared.size() - 1).id();
   }
 
+  private static long millisFromArrival(RelayRequest request, Optional<Instant> at) {
+    return at.map(time -> millisBetween(request.arrivedAt(), time)).orElse(NEVER);
+  }
+
   private static long millisBetween(Instant from, Instant to) {
     return Duration.between(from, to).toMillis();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -62,6 +62,8 @@
   private Optional<TargetCall> call = Optional.empty();
   private Optional<RelayQueue.Entry<RelayExchange>> queueEntry = Optional.empty();
   private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
+  private Instant startedAt = Instant.MIN;
+  private Optional<Instant> sentAt = Optional.empty();
   private Optional<Instant> firstByteAt = Optional.empty();
 
   RelayExchange(
@@ -89,6 +91,7 @@
 
   void start() {
     Instant now = relay.now();
+    startedAt = now;
     relay.inFlight().incrementAndGet();
     relay.metrics().requestArrived();
     try {
@@ -222,13 +225,15 @@
       caller.targetPool().release(addressOf(next), connection);
       return;
     }
-    Duration remaining = Duration.between(relay.now(), request.deadline());
+    Instant now = relay.now();
+    Duration remaining = Duration.between(now, request.deadline());
     if (remaining.isNegative() || remaining.isZero()) {
       caller.targetPool().release(addressOf(next), connection);
       deadlineExceeded();
       return;
     }
     sendCount++;
+    sentAt = Optional.of(now);
     next.connected(connection);
     RelayProtocol.ForwardedRequest forwarded =
         new RelayProtocol.ForwardedRequest(
@@ -427,6 +432,7 @@
 
   void callerDisconnected() {
     if (!isDone) {
+      relay.metrics().callerDisconnected(sentAt.isPresent());
       String target = call.map(current -> current.target().id()).orElse("none");
       finish("caller-gone", target, "");
     }
@@ -498,7 +504,7 @@
     Instant now = relay.now();
     relay.metrics().requestEnded(Duration.between(parsedRequest.arrivedAt(), now));
     ExchangeLog.Result result =
-        new ExchangeLog.Result(outcome, target, sendCount, firstByteAt, cause);
+        new ExchangeLog.Result(outcome, target, sendCount, startedAt, sentAt, firstByteAt, cause);
     ExchangeLog.logEnd(relay.log(), parsedRequest, Optional.ofNullable(request), result, now);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -53,8 +53,10 @@
     RelayLimits limits = relay.admission().routing().table().limits().orElse(DEFAULT_LIMITS);
     EventLoopLag loopLag =
         loopLags.computeIfAbsent(
-            channel.eventLoop(), loop -> EventLoopLag.start(loop, relay.clock()));
-    AbandonedRequestHandler abandonedRequests = new AbandonedRequestHandler(loopLag, relay.log());
+            channel.eventLoop(),
+            loop -> EventLoopLag.start(loop, relay.clock(), LagReporter.create(relay)));
+    AbandonedRequestHandler abandonedRequests =
+        new AbandonedRequestHandler(loopLag, relay.metrics(), relay.log());
     CallerConnection connection =
         new CallerConnection(
             relay,
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/AbandonedRequestHandlerTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/AbandonedRequestHandlerTest.java
@@ -10,6 +10,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Instant;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +18,8 @@
 
   private Instant now = Instant.ofEpochSecond(1000);
   private final EventLoopLag lag = EventLoopLag.unscheduled(() -> now);
-  private final AbandonedRequestHandler handler = new AbandonedRequestHandler(lag, EventLog.none());
+  private final AbandonedRequestHandler handler =
+      new AbandonedRequestHandler(lag, DaemonMetrics.create(), EventLog.none());
   private final EmbeddedChannel channel = new EmbeddedChannel(handler);
 
   @Test
