Read a caller's connection to its end before its request is started

Cause: an entry acted on a request without looking at what lay behind it in the same socket. Netty ends a read where the buffer was not filled, so that the close is read in the next pass of the event loop. AbandonedRequestHandler meant to wait for that pass, but only from a lag of 100 ms on and by a timer of 1 ms, which ends in the same pass wherever the rest of the pass takes longer, that is, whenever the loop lags.

Change: the connection is read until nothing is left, and its requests are started by a task behind that read, if the connection is still open. That depends on no threshold and no time, at the cost of one more read call for each request.

The log key behindMillis of relay-abandoned is now lagMillis, as in relay-end.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
@@ -1,27 +1,30 @@
 package org.geraniumwharf.internal.relay;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.util.ReferenceCountUtil;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 
 /**
- * Drops requests whose caller closed the connection while they waited unread. An event loop that
- * lags reads such a request before it reads the close. This handler therefore delays requests by
- * one pass of the loop, in which the close is read as well. Confined to its event loop.
+ * Drops requests whose caller closed the connection before they were started. Each connection is
+ * read until nothing is left, so that a close that arrived behind a request is read with it, and
+ * the request is forwarded only then. Confined to its event loop.
  */
 final class AbandonedRequestHandler extends ChannelInboundHandlerAdapter {
 
-  /** Event loop lag from which callers may have disconnected in the meantime. */
-  private static final Duration LAG_THRESHOLD = Duration.ofMillis(100);
+  private static final int MAX_READS_PER_PASS = 16;
 
-  private static final long NEXT_PASS_DELAY_MILLIS = 1;
+  /** By default a read stops at the request if the buffer was not filled, before the close. */
+  private static final RecvByteBufAllocator READ_UNTIL_EMPTY =
+      new AdaptiveRecvByteBufAllocator()
+          .respectMaybeMoreData(false)
+          .maxMessagesPerRead(MAX_READS_PER_PASS);
 
   private final EventLoopLag loopLag;
   private final DaemonMetrics metrics;
@@ -34,34 +37,27 @@
     this.log = log;
   }
 
-  /** Returns the current lag of the event loop. */
-  Duration loopLag() {
-    return loopLag.current();
-  }
-
   /** Returns whether a request was read and not yet forwarded. */
   boolean hasPendingRequests() {
     return !pending.isEmpty();
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    context.channel().config().setRecvByteBufAllocator(READ_UNTIL_EMPTY);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (pending.isEmpty() && loopLag().compareTo(LAG_THRESHOLD) < 0) {
-      context.fireChannelRead(message);
-      return;
-    }
     pending.add(message);
     if (pending.size() == 1) {
-      var unused =
-          context
-              .executor()
-              .schedule(
-                  () -> forwardPending(context), NEXT_PASS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      context.executor().execute(() -> forwardPending(context));
     }
   }
 
+  /** Forwards the requests, unless the close was read; then {@link #channelInactive} follows. */
   private void forwardPending(ChannelHandlerContext context) {
-    while (!pending.isEmpty()) {
+    while (!pending.isEmpty() && context.channel().isActive()) {
       context.fireChannelRead(pending.poll());
     }
   }
@@ -73,7 +69,7 @@
       log.info(
           Event.of("relay-abandoned")
               .with("requests", pending.size())
-              .with("behindMillis", loopLag().toMillis()));
+              .with("lagMillis", loopLag.current().toMillis()));
       pending.forEach(ReferenceCountUtil::release);
       pending.clear();
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -42,6 +42,7 @@
   private final RelayState relay;
   private final TargetConnectionPool targetPool;
   private final AbandonedRequestHandler abandonedRequests;
+  private final EventLoopLag loopLag;
   private final BooleanSupplier isDraining;
   private final int maxHeaderBytes;
   private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
@@ -53,11 +54,13 @@
       RelayState relay,
       TargetConnectionPool targetPool,
       AbandonedRequestHandler abandonedRequests,
+      EventLoopLag loopLag,
       BooleanSupplier isDraining,
       int maxHeaderBytes) {
     this.relay = relay;
     this.targetPool = targetPool;
     this.abandonedRequests = abandonedRequests;
+    this.loopLag = loopLag;
     this.isDraining = isDraining;
     this.maxHeaderBytes = maxHeaderBytes;
   }
@@ -100,7 +103,7 @@
       return;
     }
     try {
-      Instant arrivedAt = relay.now().minus(abandonedRequests.loopLag());
+      Instant arrivedAt = relay.now().minus(loopLag.current());
       RelayRequest parsedRequest = relay.protocol().readRequest(request, arrivedAt);
       RelayExchange exchange =
           new RelayExchange(relay, this, context.channel().eventLoop(), request, parsedRequest);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -62,6 +62,7 @@
             relay,
             targetPool(channel),
             abandonedRequests,
+            loopLag,
             () -> isDraining,
             limits.maxHeaderBytes());
     connections.add(connection);
