Bound the size of an event of a stream, and scan its bytes once

What callers saw: while one target sent a stream whose event did not end, the entry served nobody.

Cause: EventStreamDecoder kept the bytes of an event without a bound, and looked for the end of the event from its first byte at every read, so that the time grew with the square of the size, on the event loop.

Change: each byte is scanned once, and a stream whose event exceeds 64 KB is treated like a connection that broke: resumed elsewhere where the route allows it, else cut.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStreamDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStreamDecoder.java
@@ -20,6 +20,8 @@
   private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
   private final ByteBuf buffer = Unpooled.buffer();
+  private int scannedBytes;
+  private boolean isLineEmpty;
 
   /**
    * A complete event.
@@ -44,25 +46,26 @@
     return events;
   }
 
-  /** Returns whether an incomplete event is buffered. */
-  boolean hasPartialEvent() {
-    return buffer.isReadable();
+  /** Returns the size of the incomplete event that is buffered; 0 if there is none. */
+  int partialEventBytes() {
+    return buffer.readableBytes();
   }
 
-  /** Returns the index after the blank line that ends the first event, or -1 if there is none. */
+  /**
+   * Returns the index after the blank line that ends the first event, or -1 if there is none. Each
+   * byte is scanned once.
+   */
   private int findEventEnd() {
-    boolean isLineEmpty = false;
-    for (int i = buffer.readerIndex(); i < buffer.writerIndex(); i++) {
+    for (int i = buffer.readerIndex() + scannedBytes; i < buffer.writerIndex(); i++) {
       byte next = buffer.getByte(i);
-      if (next == NEWLINE) {
-        if (isLineEmpty) {
-          return i + 1;
-        }
-        isLineEmpty = true;
-      } else if (next != CARRIAGE_RETURN) {
+      if (next == NEWLINE && isLineEmpty) {
+        scannedBytes = 0;
         isLineEmpty = false;
+        return i + 1;
       }
+      isLineEmpty = next == NEWLINE || (next == CARRIAGE_RETURN && isLineEmpty);
     }
+    scannedBytes = buffer.readableBytes();
     return -1;
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -17,6 +17,9 @@
   /** Largest response that is buffered until it is complete. */
   private static final int MAX_BUFFERED_BYTES = 512 << 10;
 
+  /** Largest event of a stream. */
+  private static final int MAX_EVENT_BYTES = 64 << 10;
+
   private final RelayExchange exchange;
   private final RelayTarget target;
   private final RelayLoadTable.InFlightRequest run;
@@ -84,14 +87,21 @@
       for (EventStreamDecoder.StreamEvent event : eventDecoder.decode(bytes)) {
         exchange.eventReceived(this, head.orElseThrow(), event);
       }
+      if (!isEnded && eventDecoder.partialEventBytes() > MAX_EVENT_BYTES) {
+        rejectResponse("an event exceeds " + MAX_EVENT_BYTES + " bytes");
+      }
     } else if (body.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BYTES) {
-      connection.ifPresent(TargetConnection::cancel);
-      onFailure("the answer exceeds " + MAX_BUFFERED_BYTES + " bytes");
+      rejectResponse("the answer exceeds " + MAX_BUFFERED_BYTES + " bytes");
     } else {
       body.addComponent(true, bytes.retain());
     }
   }
 
+  private void rejectResponse(String cause) {
+    connection.ifPresent(TargetConnection::cancel);
+    onFailure(cause);
+  }
+
   @Override
   public void onComplete() {
     if (isEnded) {
@@ -101,7 +111,7 @@
     exchange.releaseConnection(this, connection.orElseThrow());
     if (isEventStream()) {
       body.release();
-      if (eventDecoder.hasPartialEvent()) {
+      if (eventDecoder.partialEventBytes() > 0) {
         exchange.callFailed(this, "the stream ended within an event");
       } else {
         exchange.streamCompleted(this);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/EventStreamDecoderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/EventStreamDecoderTest.java
@@ -1,8 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -27,7 +25,7 @@
     assertEquals(FIRST, events.get(0).bytes().toString(StandardCharsets.UTF_8));
     assertEquals(Optional.of("2"), events.get(1).id());
     assertEquals(SECOND, events.get(1).bytes().toString(StandardCharsets.UTF_8));
-    assertFalse(decoder.hasPartialEvent());
+    assertEquals(0, decoder.partialEventBytes());
   }
 
   @Test
@@ -38,10 +36,23 @@
     }
 
     assertEquals(List.of(), events);
-    assertTrue(decoder.hasPartialEvent());
+    assertEquals(FIRST.length() - 1, decoder.partialEventBytes());
     assertEquals(1, decode("\n").size());
   }
 
+  @Test
+  void should_find_the_end_of_an_event_behind_bytes_that_were_scanned_before() {
+    assertEquals(0, decode("data: one\n").size());
+    assertEquals(0, decode("\r").size());
+
+    List<EventStreamDecoder.StreamEvent> events = decode("\nid: 2\n\ndata: three");
+
+    assertEquals(2, events.size());
+    assertEquals("data: one\n\r\n", events.get(0).bytes().toString(StandardCharsets.UTF_8));
+    assertEquals(Optional.of("2"), events.get(1).id());
+    assertEquals("data: three".length(), decoder.partialEventBytes());
+  }
+
   @Test
   void should_return_an_event_without_an_id() {
     assertEquals(Optional.empty(), decode("data: id: 7\n\n").get(0).id());
