Close a connection to a target that sends bytes that are no answer

What callers saw: a target that sends interim responses, or an answer to another request, and does not end them held each request until the timeout of its route (504 after 6.2 s in ResponseWithoutEndTest), and its connection stayed open and was read all that time. Bytes behind a complete answer, such as line ends, were read from a kept connection for ever.

Cause: TargetConnection bounds what it forwards, and not what it discards; Netty skips line ends and control characters before a head without telling anybody.

Change: a handler before the HTTP codec counts the bytes received. Bytes without a request in flight close the connection; so do more than 576 KB without a head or body of the response in flight, and more than 8 interim responses. The request then fails as at a broken connection.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -35,6 +36,14 @@
   /** Idle timeout for a target that sends no keep-alive timeout. */
   private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofMillis(250);
 
+  /**
+   * Bytes that a target may send in a row without a head or a body of the response in flight. A
+   * response to another request, which is discarded, may be as large as one that is buffered.
+   */
+  private static final int MAX_USELESS_BYTES = 576 << 10;
+
+  private static final int MAX_INTERIM_RESPONSES = 8;
+
   private final Channel channel;
   private final RelayProtocol protocol;
   private final InstantSource clock;
@@ -47,6 +56,8 @@
   private boolean isDiscarding;
   private boolean isHeadReceived;
   private boolean isReset;
+  private int uselessBytes;
+  private int interimResponses;
 
   /**
    * Receives the response to the request in flight. No method is called after {@link #onComplete}
@@ -73,12 +84,41 @@
     this.clock = clock;
   }
 
+  /** Returns the handler to be placed before the HTTP codec, which bounds the bytes received. */
+  ChannelInboundHandler receivedBytesHandler() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void channelRead(ChannelHandlerContext context, Object bytes) {
+        if (isAcceptable(((ByteBuf) bytes).readableBytes())) {
+          context.fireChannelRead(bytes);
+        } else {
+          ReferenceCountUtil.release(bytes);
+        }
+      }
+    };
+  }
+
+  private boolean isAcceptable(int receivedBytes) {
+    uselessBytes += receivedBytes;
+    if (listener.isEmpty()) {
+      fail("the target sent bytes without a request");
+      return false;
+    }
+    if (uselessBytes > MAX_USELESS_BYTES) {
+      fail("the target sent " + uselessBytes + " bytes that are no answer");
+      return false;
+    }
+    return true;
+  }
+
   /** Sends a request and takes ownership of it. */
   void send(FullHttpRequest request, String id, ResponseListener newListener) {
     listener = Optional.of(newListener);
     requestId = id;
     isHeadReceived = false;
     isDiscarding = false;
+    uselessBytes = 0;
+    interimResponses = 0;
     requestWrite = channel.writeAndFlush(request);
   }
 
@@ -134,6 +174,10 @@
   private void readHead(HttpResponse head) {
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       isDiscarding = true;
+      interimResponses++;
+      if (interimResponses > MAX_INTERIM_RESPONSES) {
+        fail("the target sent " + interimResponses + " interim responses");
+      }
       return;
     }
     if (listener.isEmpty()) {
@@ -147,6 +191,7 @@
       return;
     }
     isHeadReceived = true;
+    uselessBytes = 0;
     if (!HttpUtil.isKeepAlive(head) || !isBodyDelimited(head)) {
       isReusable = false;
     }
@@ -174,6 +219,7 @@
       return;
     }
     if (content.content().isReadable()) {
+      uselessBytes = 0;
       listener.ifPresent(active -> active.onContent(content.content()));
     }
     if (content instanceof LastHttpContent) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -90,12 +90,14 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                TargetConnection connection = new TargetConnection(channel, protocol, clock);
                 channel
                     .pipeline()
+                    .addLast(connection.receivedBytesHandler())
                     .addLast(
                         new HttpClientCodec(
                             MAX_INITIAL_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                    .addLast(new TargetConnection(channel, protocol, clock));
+                    .addLast(connection);
               }
             });
   }
