Bound the answers of cache stores and engines to the native cache client

Found when looking for answers without an end elsewhere: HttpCacheClient read the whole body of a look-up, of cache events and of a transfer without a limit, so that one store could exhaust the memory of a daemon within the timeout of the call. The other native client had a limit; both now share it (BoundedBodies, 4 MB here).

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
@@ -24,6 +24,8 @@
 
   private static final MediaType JSON = MediaType.get("application/json");
 
+  private static final int MAX_ANSWER_BYTES = 4 << 20;
+
   private final OkHttpClient http;
 
   private HttpCacheClient(OkHttpClient http) {
@@ -89,7 +91,7 @@
       if (!response.isSuccessful()) {
         throw TargetCallException.unclear(target, "it answered " + response.code());
       }
-      return response.body().bytes();
+      return BoundedBodies.read(response, target, MAX_ANSWER_BYTES);
     } catch (IOException e) {
       throw TargetCallException.unclear(
           target, e.getClass().getSimpleName() + ": " + e.getMessage());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -163,15 +163,11 @@
 
     TargetAnswer wholeAnswer(Response response, int maxBytes) throws TargetCallException {
       try {
-        BufferedSource source = response.body().source();
-        if (source.request(maxBytes + 1L)) {
-          throw TargetCallException.unclear(
-              request.target().id(), "its answer exceeds " + maxBytes + " bytes");
-        }
+        byte[] body = BoundedBodies.read(response, request.target().id(), maxBytes);
         return TargetAnswer.of(
             response.code(),
             response.header("Content-Type", "application/octet-stream"),
-            source.readByteArray(),
+            body,
             loadOf(response));
       } catch (IOException e) {
         throw failure(e);
