Look for the caller's close before a request goes over a new connection

If the caller left meanwhile, both events are handled in the same pass, and the request was sent if the new connection came first.

Change: an opened connection is handed over by a task, that is after all reads of its pass, and the request is sent only if the caller is still connected. A connection that was closed by then counts as one that did not open, so that nothing has been sent over it.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -69,6 +69,11 @@
     return targetPool;
   }
 
+  /** Returns false from the moment at which the close of the caller was read. */
+  boolean isConnected() {
+    return context.channel().isActive();
+  }
+
   /** Closes the connection if it has no request in flight. May be called by any thread. */
   void scheduleCloseIfIdle() {
     context.executor().execute(this::closeIfIdle);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -221,7 +221,8 @@
   }
 
   private void sendRequest(TargetConnection connection, TargetCall next) {
-    if (isDone || call.filter(current -> current == next).isEmpty()) {
+    boolean isCurrent = call.filter(current -> current == next).isPresent();
+    if (isDone || !isCurrent || !caller.isConnected()) {
       caller.targetPool().release(addressOf(next), connection);
       return;
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -10,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
@@ -68,13 +70,23 @@
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
-            opened.accept(connecting.channel().pipeline().get(TargetConnection.class));
+            loop.execute(() -> handOver(connecting.channel(), opened, failed));
           } else {
             failed.accept(done.cause());
           }
         });
   }
 
+  /** Runs after the reads of the same pass, which may include the close of the caller. */
+  private static void handOver(
+      Channel channel, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
+    if (channel.isActive()) {
+      opened.accept(channel.pipeline().get(TargetConnection.class));
+    } else {
+      failed.accept(new ClosedChannelException());
+    }
+  }
+
   private Bootstrap bootstrap() {
     return new Bootstrap()
         .group(loop)
