Close a connection behind a stream that ends while its entry drains

What callers saw: while an entry drained, a request that was sent as soon as a stream had ended was taken on the same connection, however little of the grace time was left.

Cause: a response announces in its head that its connection will close, and the head of a stream that began before SIGTERM does not. Such a connection stayed open after its last event until the next look for idle connections, up to 40 ms later, and a caller that sends again at once was served on it.

Change: where the entry drains, the connection is closed behind the response that ends, unless its next request has been read already; that one is answered.

Evidence: RequestTakenWhileDrainingTest, ten callers that send again as soon as their stream has ended: 10 of 10 requests were taken, now none.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -207,6 +207,9 @@
       written.addListener(ChannelFutureListener.CLOSE);
     } else if (!pipelinedRequests.isEmpty()) {
       startExchange(pipelinedRequests.poll());
+    } else if (isDraining.getAsBoolean() && !abandonedRequests.hasPendingRequests()) {
+      // The head of a stream that was started before the drain did not announce the close.
+      written.addListener(ChannelFutureListener.CLOSE);
     }
   }
 
