Log the age of a caller's connection, the drain, and each request cut at the stop

The entry's log told only `shutdown-finished cut=1`: not which request was cut, nor whether it came over a connection that was opened before the drain or during it, so the hypotheses about the drain could not be told apart.

Change: `relay-end` has `connectionMillis` and `drainingMillis`, and a request that is still in flight at the stop gets its `relay-end outcome=cut` line before its connection is closed. What the caller sees stays the same: the process ended at that moment anyway.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -287,12 +287,13 @@
     log.info(Event.of("shutdown-started").with("inFlight", inFlight()));
     membership.readiness().leaving();
     membership.changed();
-    relay.ifPresent(running -> RelayDrain.drain(running, settings.grace(), begun, clock));
+    int cut =
+        relay.map(running -> RelayDrain.drain(running, settings.grace(), begun, clock)).orElse(0);
     instance.ifPresent(NodeRuntime::stopControl);
     membership.stop();
     links.close();
     network.close();
-    log.info(Event.of("shutdown-finished").with("cut", inFlight()));
+    log.info(Event.of("shutdown-finished").with("cut", cut));
   }
 
   private static void stopControl(ControlInstance running) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -23,9 +23,10 @@
    * Accepts until the balancer has noticed, then waits for the requests under way.
    *
    * @param grace time from {@code begun} after which the process is killed
+   * @return requests that were cut because the time was over
    */
-  static void drain(Relay relay, Duration grace, Instant begun, InstantSource clock) {
-    relay.startDraining();
+  static int drain(Relay relay, Duration grace, Instant begun, InstantSource clock) {
+    relay.startDraining(begun);
     Instant end = begun.plus(grace.multipliedBy(DRAIN_PERCENT).dividedBy(100));
     Instant noticeEnd = begun.plus(NOTICE);
     while (clock.instant().isBefore(noticeEnd)) {
@@ -35,8 +36,11 @@
       relay.closeIdleConnections();
       pause();
     }
+    int cut = relay.inFlight();
+    relay.cutRequests();
     relay.closeIdleConnections();
     pause();
+    return cut;
   }
 
   private static void pause() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -20,11 +20,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.http.ErrorBodies;
@@ -43,11 +44,12 @@
   private final TargetConnectionPool targetPool;
   private final AbandonedRequestHandler abandonedRequests;
   private final EventLoopLag loopLag;
-  private final BooleanSupplier isDraining;
+  private final Supplier<Optional<Instant>> drainingSince;
   private final int maxHeaderBytes;
   private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private Optional<RelayExchange> currentExchange = Optional.empty();
   private ChannelHandlerContext context;
+  private Instant openedAt = Instant.MIN;
   private boolean isKeepAlive;
 
   CallerConnection(
@@ -55,13 +57,13 @@
       TargetConnectionPool targetPool,
       AbandonedRequestHandler abandonedRequests,
       EventLoopLag loopLag,
-      BooleanSupplier isDraining,
+      Supplier<Optional<Instant>> drainingSince,
       int maxHeaderBytes) {
     this.relay = relay;
     this.targetPool = targetPool;
     this.abandonedRequests = abandonedRequests;
     this.loopLag = loopLag;
-    this.isDraining = isDraining;
+    this.drainingSince = drainingSince;
     this.maxHeaderBytes = maxHeaderBytes;
   }
 
@@ -74,6 +76,24 @@
     return context.channel().isActive();
   }
 
+  Duration connectionAge(Instant now) {
+    return Duration.between(openedAt, now);
+  }
+
+  /** Returns how long the instance has been draining; empty if it is not. */
+  Optional<Duration> drainingFor(Instant now) {
+    return drainingSince.get().map(since -> Duration.between(since, now));
+  }
+
+  private boolean isDraining() {
+    return drainingSince.get().isPresent();
+  }
+
+  /** Gives up the request in flight because the process stops. May be called by any thread. */
+  void scheduleCut() {
+    context.executor().execute(() -> currentExchange.ifPresent(RelayExchange::instanceStopped));
+  }
+
   /** Closes the connection if it has no request in flight. May be called by any thread. */
   void scheduleCloseIfIdle() {
     context.executor().execute(this::closeIfIdle);
@@ -88,6 +108,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext added) {
     context = added;
+    openedAt = relay.now();
   }
 
   @Override
@@ -192,7 +213,7 @@
   }
 
   private void setConnectionHeader(HttpResponse response) {
-    if (isDraining.getAsBoolean()) {
+    if (isDraining()) {
       isKeepAlive = false;
     }
     if (!isKeepAlive) {
@@ -207,7 +228,7 @@
       written.addListener(ChannelFutureListener.CLOSE);
     } else if (!pipelinedRequests.isEmpty()) {
       startExchange(pipelinedRequests.poll());
-    } else if (isDraining.getAsBoolean() && !abandonedRequests.hasPendingRequests()) {
+    } else if (isDraining() && !abandonedRequests.hasPendingRequests()) {
       // The head of a stream that was started before the drain did not announce the close.
       written.addListener(ChannelFutureListener.CLOSE);
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
@@ -26,6 +26,8 @@
    * @param startedAt time when the request was read and started
    * @param sentAt time when the request was last sent to a target
    * @param firstByteAt time when the first byte was sent to the caller
+   * @param connectionAge age of the caller's connection when the request was started
+   * @param drainingFor time for which the instance had been draining then; empty if it was not
    * @param cause cause of the failure; empty if there was none
    */
   record Result(
@@ -35,6 +37,8 @@
       Instant startedAt,
       Optional<Instant> sentAt,
       Optional<Instant> firstByteAt,
+      Duration connectionAge,
+      Optional<Duration> drainingFor,
       String cause) {}
 
   /** Logs the inputs of a placement decision. */
@@ -82,6 +86,8 @@
             .with("sentMillis", millisFromArrival(request, result.sentAt()))
             .with("firstByteMillis", millisFromArrival(request, result.firstByteAt()))
             .with("millis", millisBetween(request.arrivedAt(), now))
+            .with("connectionMillis", result.connectionAge().toMillis())
+            .with("drainingMillis", result.drainingFor().map(Duration::toMillis).orElse(NEVER))
             .with("cause", result.cause()));
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.function.IntSupplier;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
@@ -61,8 +62,13 @@
   }
 
   /** Closes each connection of a caller after its next response from now on. */
-  public void startDraining() {
-    server.startDraining();
+  public void startDraining(Instant now) {
+    server.startDraining(now);
+  }
+
+  /** Gives up the requests in flight because the process stops. */
+  public void cutRequests() {
+    server.cutRequests();
   }
 
   /** Closes the connections of callers that have no request in flight. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -63,6 +63,7 @@
   private Optional<RelayQueue.Entry<RelayExchange>> queueEntry = Optional.empty();
   private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
   private Instant startedAt = Instant.MIN;
+  private Optional<Duration> drainingFor = Optional.empty();
   private Optional<Instant> sentAt = Optional.empty();
   private Optional<Instant> firstByteAt = Optional.empty();
 
@@ -92,6 +93,7 @@
   void start() {
     Instant now = relay.now();
     startedAt = now;
+    drainingFor = caller.drainingFor(now);
     relay.inFlight().incrementAndGet();
     relay.metrics().requestArrived();
     try {
@@ -439,6 +441,13 @@
     }
   }
 
+  /** Gives the request up because the process stops. */
+  void instanceStopped() {
+    if (!isDone) {
+      abort("the instance stopped");
+    }
+  }
+
   private void deadlineExceeded() {
     if (isDone) {
       return;
@@ -505,7 +514,16 @@
     Instant now = relay.now();
     relay.metrics().requestEnded(Duration.between(parsedRequest.arrivedAt(), now));
     ExchangeLog.Result result =
-        new ExchangeLog.Result(outcome, target, sendCount, startedAt, sentAt, firstByteAt, cause);
+        new ExchangeLog.Result(
+            outcome,
+            target,
+            sendCount,
+            startedAt,
+            sentAt,
+            firstByteAt,
+            caller.connectionAge(startedAt),
+            drainingFor,
+            cause);
     ExchangeLog.logEnd(relay.log(), parsedRequest, Optional.ofNullable(request), result, now);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -9,7 +9,9 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +39,7 @@
   private final Map<EventLoop, TargetConnectionPool> targetPools = new ConcurrentHashMap<>();
   private final Map<EventLoop, EventLoopLag> loopLags = new ConcurrentHashMap<>();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
-  private volatile boolean isDraining;
+  private volatile Optional<Instant> drainingSince = Optional.empty();
 
   RelayServer(RelayState relay, EventLoopGroup loops) {
     this.relay = relay;
@@ -63,7 +65,7 @@
             targetPool(channel),
             abandonedRequests,
             loopLag,
-            () -> isDraining,
+            () -> drainingSince,
             limits.maxHeaderBytes());
     connections.add(connection);
     channel.closeFuture().addListener(closed -> connections.remove(connection));
@@ -89,8 +91,13 @@
   }
 
   /** Closes each connection after its next response from now on. */
-  void startDraining() {
-    isDraining = true;
+  void startDraining(Instant now) {
+    drainingSince = Optional.of(now);
+  }
+
+  /** Gives up the requests in flight because the process stops. */
+  void cutRequests() {
+    connections.forEach(CallerConnection::scheduleCut);
   }
 
   /** Closes the connections that have no request in flight. */
