Refuse new requests once the balancer has had time to notice a drain

Cause: a drain without an end of intake. After SIGTERM an entry turned unready and relied on the balancer to send nothing more. The balancer uses unready instances too where fewer than half of a data centre are ready, as in a roll of all entries, so a draining entry got new connections to its very end, never ran out of requests, and cut those of its last seconds.

Change: after the notice time an entry refuses new requests as not run (503 `shutting-down`), as the native daemon does already, and asks callers to come back after a second, in which another entry of the data centre may have restarted. The requests under way then end, and the entry stops and returns sooner.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -287,8 +287,7 @@
     log.info(Event.of("shutdown-started").with("inFlight", inFlight()));
     membership.readiness().leaving();
     membership.changed();
-    int cut =
-        relay.map(running -> RelayDrain.drain(running, settings.grace(), begun, clock)).orElse(0);
+    int cut = relay.map(running -> drain(running, begun)).orElse(0);
     instance.ifPresent(NodeRuntime::stopControl);
     membership.stop();
     links.close();
@@ -296,6 +295,10 @@
     log.info(Event.of("shutdown-finished").with("cut", cut));
   }
 
+  private int drain(Relay running, Instant begun) {
+    return RelayDrain.drain(running, membership.readiness(), settings.grace(), begun, clock);
+  }
+
   private static void stopControl(ControlInstance running) {
     var unused =
         running
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.relay.Relay;
 
 /** Lets a relay finish what it has begun before its process stops. */
@@ -20,18 +21,22 @@
   private RelayDrain() {}
 
   /**
-   * Accepts until the balancer has noticed, then waits for the requests under way.
+   * Accepts until the balancer has noticed, then refuses new requests and waits for those under
+   * way. The balancer may send requests to the very end: it uses unready instances where too few
+   * are ready.
    *
    * @param grace time from {@code begun} after which the process is killed
    * @return requests that were cut because the time was over
    */
-  static int drain(Relay relay, Duration grace, Instant begun, InstantSource clock) {
+  static int drain(
+      Relay relay, Readiness readiness, Duration grace, Instant begun, InstantSource clock) {
     relay.startDraining(begun);
     Instant end = begun.plus(grace.multipliedBy(DRAIN_PERCENT).dividedBy(100));
     Instant noticeEnd = begun.plus(NOTICE);
     while (clock.instant().isBefore(noticeEnd)) {
       pause();
     }
+    readiness.refusing();
     while (relay.inFlight() > 0 && clock.instant().isBefore(end)) {
       relay.closeIdleConnections();
       pause();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -22,6 +22,12 @@
 
   private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(300);
 
+  /**
+   * Requests reach an instance that refuses only where most instances of its data centre are
+   * unready, and it takes seconds until one of them has been restarted.
+   */
+  private static final Duration LEAVING_RETRY_AFTER = Duration.ofSeconds(1);
+
   private final Readiness readiness;
   private volatile RoutingSnapshot routing;
 
@@ -51,9 +57,9 @@
         throw ServingErrors.notReady("no configuration was published yet");
       }
     } catch (ServingException e) {
-      Duration remaining = request.callerTimeout().orElse(NOT_READY_RETRY_AFTER);
-      throw e.withRetryAfter(
-          RetryAfter.jitteredDelay(request.id(), NOT_READY_RETRY_AFTER, remaining));
+      Duration expected = readiness.isLeaving() ? LEAVING_RETRY_AFTER : NOT_READY_RETRY_AFTER;
+      Duration remaining = request.callerTimeout().orElse(expected);
+      throw e.withRetryAfter(RetryAfter.jitteredDelay(request.id(), expected, remaining));
     }
     RelayTable table = routing.table();
     RelayRoute route =
