Answer the requests that are left at the stop of an entry

What callers saw: a request whose target was silent to the end of the drain got no answer, only the end of its connection, from which it could not tell whether it had run.

Cause: the process stopped with the request in flight. Change: a request that was not sent is refused as not run, one that was sent and has no answer ends with 502 as it may have run, and a stream that has begun is cut as before.

Evidence: RequestTakenWhileDrainingTest.should_answer_a_request_whose_target_is_silent_to_the_end_of_the_drain fails without the change (the connection ends without a byte) and passes with it; 4 of 4 methods pass.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
@@ -115,6 +115,11 @@
         .withRetryAfter(SHORT_RETRY_AFTER);
   }
 
+  /** Returns the error for a request that was sent to a target and has no answer at the stop. */
+  public static ServingException instanceStopped() {
+    return mayHaveRun(ErrorKind.TARGET_FAILED, "the instance stopped before the target answered");
+  }
+
   /** Returns the error for a request that was not dispatched because control did not respond. */
   public static ServingException controlUnavailable(String reason) {
     return notRun(ErrorKind.CONTROL_UNAVAILABLE, reason).withRetryAfter(SHORT_RETRY_AFTER);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -443,8 +443,15 @@
 
   /** Gives the request up because the process stops. */
   void instanceStopped() {
-    if (!isDone) {
+    if (isDone) {
+      return;
+    }
+    if (isResponseStarted) {
       abort("the instance stopped");
+    } else if (isPossiblyExecuted()) {
+      finishAsFailed(ServingErrors.instanceStopped());
+    } else {
+      finishWithError(ServingErrors.shuttingDown(), "refused");
     }
   }
 
@@ -455,13 +462,17 @@
     call.ifPresent(current -> relay.load().recordFailure(current.target().id(), relay.now()));
     if (isResponseStarted) {
       abort("the time of the route is over");
-    } else if (mayHaveExecuted || call.filter(TargetCall::isSent).isPresent()) {
+    } else if (isPossiblyExecuted()) {
       finishAsFailed(ServingErrors.deadlineExceeded(request.route().timeoutMillis()));
     } else {
       rejectOverloaded(REJECTED_RETRY_AFTER, Duration.ZERO);
     }
   }
 
+  private boolean isPossiblyExecuted() {
+    return mayHaveExecuted || call.filter(TargetCall::isSent).isPresent();
+  }
+
   private void finishWithResponse(
       HttpResponse head, ByteBuf body, String outcome, TargetCall endedCall) {
     firstByteAt = Optional.of(relay.now());
