Leave out a target whose address cannot be connected

What callers saw: a request that was placed at such a target got no answer. Cause: a heartbeat with port 99999, port 0 or the host .... was stored. The entry then parsed the address on its event loop for each request, and the exception left the request without a next step. Change: NumericAddress parses ip:port without a look-up of a name. A record that is already in the replicated state is left out of the routes with one warn line (target-unusable), a store likewise (store-unusable); the rollout of weights passes over it. The case of a store that is already in the configuration is not covered by a test.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
@@ -2,10 +2,11 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import org.geraniumwharf.announcement.AnnouncedAddress;
-import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.internal.fleet.NumericAddress;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
 import org.geraniumwharf.schema.targets.Announcement;
 
@@ -51,11 +52,11 @@
 
   private BufferingHttpClient.Response call(Announcement engine, FullHttpRequest request)
       throws IOException, InterruptedException {
+    InetSocketAddress address =
+        NumericAddress.parse(AnnouncedAddress.hostAndPort(engine))
+            .orElseThrow(() -> new IOException("the address cannot be used"));
     try {
-      return calls
-          .send(
-              ControlDirectory.parseAddress(AnnouncedAddress.hostAndPort(engine)), request, TIMEOUT)
-          .get();
+      return calls.send(address, request, TIMEOUT).get();
     } catch (ExecutionException e) {
       throw new IOException(e.getCause().getMessage(), e.getCause());
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -11,11 +11,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.control.Leadership;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.NumericAddress;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.state.NamedWeights;
@@ -113,7 +115,10 @@
   }
 
   private static boolean isServing(TargetRecord record) {
-    return !record.lapsed() && !record.announcement().leaving();
+    Announcement announcement = record.announcement();
+    return !record.lapsed()
+        && !announcement.leaving()
+        && NumericAddress.parse(AnnouncedAddress.hostAndPort(announcement)).isPresent();
   }
 
   private WavePlanner.EngineProgress progress(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -3,11 +3,15 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.routing.RendezvousHash;
+import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.ResolvedRequest;
@@ -29,16 +33,32 @@
   private static final Duration LEAVING_RETRY_AFTER = Duration.ofSeconds(1);
 
   private final Readiness readiness;
+  private final EventLog log;
   private volatile RoutingSnapshot routing;
 
-  private RelayAdmission(FleetViewHolder holder, Readiness readiness) {
+  private RelayAdmission(FleetViewHolder holder, Readiness readiness, EventLog log) {
     this.readiness = readiness;
+    this.log = log;
     this.routing = RoutingSnapshot.of(holder.current(), Optional.empty());
-    holder.onChange((before, after) -> routing = RoutingSnapshot.of(after, Optional.of(routing)));
+    routing.unusableIds().forEach(this::logUnusable);
+    holder.onChange((before, after) -> replaceRouting(after));
   }
 
-  static RelayAdmission create(FleetViewHolder holder, Readiness readiness) {
-    return new RelayAdmission(holder, readiness);
+  static RelayAdmission create(FleetViewHolder holder, Readiness readiness, EventLog log) {
+    return new RelayAdmission(holder, readiness, log);
+  }
+
+  private void replaceRouting(FleetSnapshot view) {
+    Set<String> loggedIds = routing.unusableIds();
+    routing = RoutingSnapshot.of(view, Optional.of(routing));
+    routing.unusableIds().stream().filter(id -> !loggedIds.contains(id)).forEach(this::logUnusable);
+  }
+
+  private void logUnusable(String id) {
+    log.warn(
+        Event.of("target-unusable")
+            .with("target", id)
+            .with("cause", "the announced address or version cannot be read"));
   }
 
   RoutingSnapshot routing() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -85,7 +85,7 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
-    RelayAdmission admission = RelayAdmission.create(holder, readiness);
+    RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     RelayState relay =
         new RelayState(admission, protocol, rules, load, liveInstances, metrics, log, clock);
     holder.onChange(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
+import org.geraniumwharf.internal.fleet.NumericAddress;
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.TargetRecord;
@@ -22,6 +23,7 @@
   private final RelayTable table;
   private final Map<String, List<RelayTarget>> targetsByService = new HashMap<>();
   private final Set<String> targetIds = new HashSet<>();
+  private final Set<String> unusableIds = new HashSet<>();
 
   private RoutingSnapshot(FleetSnapshot view, RelayTable table) {
     this.view = view;
@@ -57,6 +59,12 @@
   }
 
   private void add(Announcement announcement) {
+    boolean isConnectable =
+        NumericAddress.parse(AnnouncedAddress.hostAndPort(announcement)).isPresent();
+    if (!isConnectable) {
+      unusableIds.add(announcement.id());
+      return;
+    }
     RelayTarget target =
         new RelayTarget(
             announcement.id(),
@@ -94,4 +102,9 @@
   Set<String> targetIds() {
     return targetIds;
   }
+
+  /** Returns the targets that are left out because their announcements cannot be used. */
+  Set<String> unusableIds() {
+    return unusableIds;
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPollers.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPollers.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.geraniumwharf.configuration.Configuration;
+import org.geraniumwharf.internal.fleet.NumericAddress;
+import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.StoredParts;
 import org.geraniumwharf.schema.objects.CacheStore;
@@ -39,7 +41,14 @@
     List<CacheStore> stores = new ArrayList<>();
     for (PublishedObject object : configuration.objects()) {
       if (object instanceof CacheStore store && store.managed()) {
-        stores.add(store);
+        if (NumericAddress.parse(store.address()).isPresent()) {
+          stores.add(store);
+        } else {
+          log.warn(
+              Event.of("store-unusable")
+                  .with("store", store.name())
+                  .with("address", store.address()));
+        }
       }
     }
     pollers
