Go on past an announced version of weights that is no number

What operators saw: an entry kept its list of targets as it was, and the thread that brings engines to named weights ended. Cause: both parsed the text behind the @ of an announced version; a model named with an @, or a number beyond 64 bits, threw NumberFormatException from the thread. Change: WeightsVersion parses without an exception.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -25,6 +25,7 @@
 import org.geraniumwharf.schema.targets.Announcement;
 import org.geraniumwharf.schema.targets.LoadedWeights;
 import org.geraniumwharf.weights.WavePlanner;
+import org.geraniumwharf.weights.WeightsVersion;
 
 /**
  * Brings the engines to the weights that operators name, while the local control instance leads.
@@ -137,7 +138,8 @@
     return announcement.loaded().stream()
         .map(LoadedWeights::modelVersion)
         .filter(name -> name.startsWith(model + '@'))
-        .map(name -> Long.parseLong(name.substring(model.length() + 1)))
+        .map(name -> WeightsVersion.parse(name.substring(model.length() + 1)))
+        .flatMap(Optional::stream)
         .findFirst();
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -14,7 +14,7 @@
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.targets.Announcement;
-import org.geraniumwharf.schema.targets.LoadedWeights;
+import org.geraniumwharf.weights.WeightsVersion;
 
 /** Routes and targets of each service, derived from one view. Immutable. */
 final class RoutingSnapshot {
@@ -59,9 +59,10 @@
   }
 
   private void add(Announcement announcement) {
+    Optional<Long> version = weightsVersion(announcement);
     boolean isConnectable =
         NumericAddress.parse(AnnouncedAddress.hostAndPort(announcement)).isPresent();
-    if (!isConnectable) {
+    if (!isConnectable || version.isEmpty()) {
       unusableIds.add(announcement.id());
       return;
     }
@@ -71,20 +72,23 @@
             AnnouncedAddress.hostAndPort(announcement),
             announcement.dataCentre(),
             announcement.slots(),
-            announcement.loaded().stream()
-                .findFirst()
-                .map(RoutingSnapshot::parseVersion)
-                .orElse(0L));
+            version.get());
     targetsByService
         .computeIfAbsent(announcement.service().orElseThrow(), name -> new ArrayList<>())
         .add(target);
     targetIds.add(target.id());
   }
 
-  /** Parses the number of a version of weights, which is announced as {@code model@number}. */
-  private static long parseVersion(LoadedWeights loaded) {
-    String name = loaded.modelVersion();
-    return Long.parseLong(name.substring(name.lastIndexOf('@') + 1));
+  /**
+   * Returns the version of the first weights, which are announced as {@code model@number}: 0
+   * without weights, empty if it is no number.
+   */
+  private static Optional<Long> weightsVersion(Announcement announcement) {
+    if (announcement.loaded().isEmpty()) {
+      return Optional.of(0L);
+    }
+    String name = announcement.loaded().get(0).modelVersion();
+    return WeightsVersion.parse(name.substring(name.lastIndexOf('@') + 1));
   }
 
   FleetSnapshot view() {
