Keep the threads of a node running after one failure

What operators could see: a process that no longer follows the list or renews its lease. Cause: an exception of one listener of the view kept the others from the change and could end the watcher of a control instance; an exception in a heartbeat ended its thread, and one in a round of the rollout its thread. Change: every listener is called; the watcher, the heartbeats and the rollout log a warn line and go on. The guards of the watcher and of a round of the rollout have no test of their own.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
@@ -36,7 +37,10 @@
     return freshAt;
   }
 
-  /** Calls a listener with the old and the new view after each change. */
+  /**
+   * Calls a listener with the old and the new view after each change. A listener that fails keeps
+   * neither the view nor the other listeners from the change.
+   */
   public void onChange(BiConsumer<FleetSnapshot, FleetSnapshot> listener) {
     listeners.add(listener);
   }
@@ -67,7 +71,17 @@
   private void replace(FleetSnapshot next) {
     FleetSnapshot before = current;
     current = next;
-    listeners.forEach(listener -> listener.accept(before, next));
+    List<RuntimeException> failures = new ArrayList<>();
+    for (BiConsumer<FleetSnapshot, FleetSnapshot> listener : listeners) {
+      try {
+        listener.accept(before, next);
+      } catch (RuntimeException e) {
+        failures.add(e);
+      }
+    }
+    if (!failures.isEmpty()) {
+      throw failures.get(0);
+    }
   }
 
   private Received received(long index, long ageMillis, Instant now) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -74,9 +74,7 @@
   public void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        List<TargetWork> relayed = exchange.own();
-        send(relayed);
-        Duration interval = relayed.isEmpty() ? INTERVAL : WORKING_INTERVAL;
+        Duration interval = sendOne() ? WORKING_INTERVAL : INTERVAL;
         boolean isEarly = changes.tryAcquire(interval.toMillis(), TimeUnit.MILLISECONDS);
         if (isEarly) {
           changes.drainPermits();
@@ -87,6 +85,18 @@
     }
   }
 
+  /** Sends a heartbeat and returns whether relayed work is under way. */
+  private boolean sendOne() {
+    try {
+      List<TargetWork> relayed = exchange.own();
+      send(relayed);
+      return !relayed.isEmpty();
+    } catch (RuntimeException e) {
+      log.warn(Event.of("heartbeat-failed").with("cause", e));
+      return false;
+    }
+  }
+
   private void send(List<TargetWork> relayed) {
     Instant now = clock.instant();
     FleetSnapshot view = holder.current();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -142,9 +142,8 @@
         if (message instanceof WatchFreshness freshness) {
           directory.learn(freshness.members());
         }
-        FleetViewHolder.Received received = holder.apply(message, now);
         reachability.accountedFor(instance, now);
-        if (received.age().compareTo(STALE) < 0 && received.index() >= holder.current().index()) {
+        if (isFresh(message, now)) {
           lastFresh = now;
         }
       }
@@ -154,6 +153,17 @@
         Event.of("watch-ended").with("instance", instance).with("index", holder.current().index()));
   }
 
+  /** Applies a message and returns whether it shows that the stream is up to date. */
+  private boolean isFresh(ControlAnswer message, Instant now) {
+    try {
+      FleetViewHolder.Received received = holder.apply(message, now);
+      return received.age().compareTo(STALE) < 0 && received.index() >= holder.current().index();
+    } catch (RuntimeException e) {
+      log.warn(Event.of("view-listener-failed").with("cause", e));
+      return true;
+    }
+  }
+
   private void confirmOnce() {
     if (readiness.isConfirmed()) {
       return;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -77,14 +77,22 @@
     try {
       while (true) {
         TimeUnit.MILLISECONDS.sleep(ROUND.toMillis());
-        Instant now = clock.instant();
-        leadership(now).ifPresent(leading -> startSwaps(leading, now));
+        runRound(clock.instant());
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** A round that fails leaves the next one to try again. */
+  private void runRound(Instant now) {
+    try {
+      leadership(now).ifPresent(leading -> startSwaps(leading, now));
+    } catch (RuntimeException e) {
+      log.warn(Event.of("weights-round-failed").with("cause", e));
+    }
+  }
+
   private Optional<Leadership> leadership(Instant now) {
     return instance
         .leadership(now)
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
@@ -44,6 +46,22 @@
     assertTrue(holder.current().configuration().service("added").isPresent());
   }
 
+  // Guards against a listener whose failure keeps the others on the view before.
+  @Test
+  void should_call_the_other_listeners_after_one_that_fails() {
+    AtomicLong seenIndex = new AtomicLong();
+    holder.onChange(
+        (before, after) -> {
+          throw new IllegalStateException("a listener that fails");
+        });
+    holder.onChange((before, after) -> seenIndex.set(after.index()));
+
+    assertThrows(IllegalStateException.class, () -> holder.apply(snapshot(10, 4), NOW));
+
+    assertEquals(10, seenIndex.get());
+    assertEquals(10, holder.current().index());
+  }
+
   @Test
   void should_not_be_ready_before_a_quorum_confirmed_the_view() {
     holder.apply(snapshot(10, 4), NOW);
