Refuse a native announcement whose address cannot be called

What callers could see: an error for a request that was placed at such a target. Cause: the address was checked by a pattern that takes a port out of range, and the client of targets throws an unchecked exception for it. Change: the announcement is answered as an invalid field, and a record that is already in the view is no candidate for placement. Evidence: FleetSnapshotTest on the code before: expected: <[named, numeric]> but was: <[named, numeric, odd-host, odd-port]> Result: it passes. The answer at the edge and the request that meets such a target were not run.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
@@ -11,12 +11,14 @@
 import java.util.List;
 import java.util.Optional;
 import org.geraniumwharf.credential.SecretHash;
+import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.OrderDelivery;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
+import org.geraniumwharf.internal.fleet.TargetUrls;
 import org.geraniumwharf.internal.http.BearerTokens;
 import org.geraniumwharf.internal.http.ErrorAnswers;
 import org.geraniumwharf.internal.http.ErrorBodies;
@@ -155,6 +157,9 @@
     BearerTokens.check(context, targetKey);
     Announcement announcement =
         RequestBodies.read(context, MAX_ANNOUNCEMENT_BYTES, Announcement.class);
+    if (!TargetUrls.isCallable(announcement)) {
+      throw ServingErrors.invalidField("address", "must be a base URL that can be called");
+    }
     boolean isAccepted = registrations.accept(announcement, clock.instant());
     if (isAccepted && !fleet.current().shows(announcement)) {
       log.info(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -215,6 +215,7 @@
         .filter(record -> !record.lapsed() && !record.announcement().leaving())
         .filter(predicate)
         .map(TargetRecord::announcement)
+        .filter(TargetUrls::isCallable)
         .map(FleetSnapshot::routableTarget)
         .toList();
   }
