Do not trust a target's response without a request id

Operators of similar systems reported callers that were told 'not executed' for requests that a target was running, and requests that ran at a second target: a faulty target had sent an earlier refusal again on a kept connection.

Cause: TargetConnection discarded a response with another request id, but took one without any id for the response to the request in flight. Targets echo the id, so such a response belongs to no known request.

Change: if the request in flight has an id, a response without one fails it and closes the connection. It ends with 502, and is sent again only where its route allows it.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -24,7 +24,9 @@
 
 /**
  * A connection to a target that carries one request at a time. A response to another request than
- * the one in flight is discarded, and the connection is not reused. Confined to its event loop.
+ * the one in flight is discarded, and the connection is not reused. If the request in flight has an
+ * id, a response without one fails it, since the response may belong to an earlier request.
+ * Confined to its event loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -190,6 +192,10 @@
       isReusable = false;
       return;
     }
+    if (response.requestId().isEmpty() && !requestId.isEmpty()) {
+      fail("the target sent a response without a request id");
+      return;
+    }
     isHeadReceived = true;
     uselessBytes = 0;
     if (!HttpUtil.isKeepAlive(head) || !isBodyDelimited(head)) {
