Cut a started stream when a target answers its rest with an error

Cause: RelayExchange.errorResponseReceived wrote the whole error response although the response to the caller had started. A kept connection of the caller then stayed open without an end of the stream; that the HTTP encoder rejects the second head is inferred, not logged. Text of the error inside a stream was not reproduced here.

Change: once the response has started, an error response of any status goes on at a further target where route, attempts and retry budget allow it; otherwise the caller's connection is closed without the end of the body.

Evidence: should_close_a_kept_connection_whose_stream_ends_in_an_error failed before for 500 and 404 with SocketTimeoutException: Read timed out after 8 s. The tests with Connection: close passed before. Going on at a third target is not shown by a test.

Measured after: ErrorAfterBrokenStreamTest, 9 tests run, 0 failures.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -317,9 +317,14 @@
     mayHaveExecuted = true;
     if (!endCall(endedCall)) {
       body.release();
-    } else if (head.status().code() >= 500 && request.isRetryable() && tryAcquireRetry(0)) {
+    } else if ((isResponseStarted || head.status().code() >= 500)
+        && request.isRetryable()
+        && tryAcquireRetry(0)) {
       body.release();
       retry(endedCall, "status " + head.status().code());
+    } else if (isResponseStarted) {
+      body.release();
+      abort("status " + head.status().code() + " for the rest of the stream");
     } else {
       finishWithResponse(head, body, "failed", endedCall);
     }
