Decide which prompt parts crash targets, from distinct crashes

What callers saw: requests with one part in their prompt crash each target that begins to answer them. They arrive at every entry, so back ends crash one after the other and sound requests that share the other parts are lost with them. Cause: nothing joined the crashes. Each entry sent such a request to two targets, each time. Change: CrashLedger counts the distinct crashes (target and incarnation) of each part and quarantines a part after three without a complete answer in between. Crashes of a quarantined part count against no other part; of parts with the same crashes the deepest goes first, as the leading ones are shared by requests that can still clear them. New error kind prompt-quarantined (503, not run). Nothing uses them yet.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
@@ -107,6 +107,11 @@
       ErrorType.OVERLOADED,
       "No live target serves the route.",
       "Wait for the time in Retry-After."),
+  PROMPT_QUARANTINED(
+      503,
+      ErrorType.OVERLOADED,
+      "Targets crashed under requests with a part of this prompt.",
+      "Send a prompt without the part that the message names."),
   CONTROL_UNAVAILABLE(
       503,
       ErrorType.OVERLOADED,
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
@@ -15,6 +15,8 @@
 
   private static final Duration SHORT_RETRY_AFTER = Duration.ofSeconds(1);
 
+  private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofMinutes(1);
+
   private ServingErrors() {}
 
   public static ServingException invalidField(String field, String reason) {
@@ -106,6 +108,13 @@
         .withRetryAfter(SHORT_RETRY_AFTER);
   }
 
+  /** Returns the error for a prompt with a part under which targets crashed. */
+  public static ServingException promptQuarantined(String part) {
+    return notRun(
+            ErrorKind.PROMPT_QUARANTINED, "targets crashed under requests with prompt part " + part)
+        .withRetryAfter(QUARANTINE_RETRY_AFTER);
+  }
+
   public static ServingException notReady(String reason) {
     return notRun(ErrorKind.NOT_READY, reason).withRetryAfter(SHORT_RETRY_AFTER);
   }
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
@@ -0,0 +1,150 @@
+package org.geraniumwharf.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import org.geraniumwharf.schema.messages.CrashEvidence;
+import org.junit.jupiter.api.Test;
+
+class CrashLedgerTest {
+
+  private static final Instant START = Instant.ofEpochSecond(1000);
+
+  private final CrashLedger ledger = CrashLedger.create();
+
+  private List<QuarantineChange> crash(int number, String... parts) {
+    return ledger.recordCrash(
+        CrashEvidence.of("target-" + number, number, List.of(parts)), START.plusSeconds(number));
+  }
+
+  @Test
+  void should_quarantine_a_part_after_three_distinct_crashes() {
+    crash(1, "bad");
+    crash(2, "bad");
+
+    List<QuarantineChange> changes = crash(3, "bad");
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+    assertEquals(3, changes.get(0).crashes());
+    assertTrue(changes.get(0).isQuarantined());
+  }
+
+  @Test
+  void should_count_a_crash_once_that_several_instances_report() {
+    crash(1, "bad", "a");
+    crash(1, "bad", "b");
+    crash(1, "bad", "c");
+
+    assertEquals(1, ledger.crashes("bad"));
+    assertFalse(ledger.isQuarantined("bad"));
+  }
+
+  @Test
+  void should_count_each_process_of_a_target() {
+    for (int incarnation = 1; incarnation <= 3; incarnation++) {
+      ledger.recordCrash(CrashEvidence.of("target", incarnation, List.of("bad")), START);
+    }
+
+    assertTrue(ledger.isQuarantined("bad"));
+  }
+
+  @Test
+  void should_clear_a_part_that_is_answered_between_crashes() {
+    crash(1, "shared");
+    crash(2, "shared");
+    ledger.recordSound("shared");
+
+    crash(3, "shared");
+
+    assertFalse(ledger.isQuarantined("shared"));
+    assertEquals(1, ledger.crashes("shared"));
+  }
+
+  @Test
+  void should_not_blame_requests_under_way_at_crashes_that_a_quarantined_part_explains() {
+    crash(1, "under-way");
+    crash(1, "bad");
+    crash(2, "under-way");
+    crash(2, "bad");
+    crash(3, "bad");
+
+    crash(3, "under-way");
+    crash(4, "bad");
+    crash(4, "under-way");
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+    assertFalse(ledger.isSuspected("under-way"));
+  }
+
+  @Test
+  void should_quarantine_the_deepest_of_parts_with_the_same_crashes() {
+    crash(1, "first", "bad", "a");
+    crash(2, "first", "bad", "b");
+    crash(3, "first", "bad", "c");
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+    assertTrue(ledger.isSuspected("first"));
+  }
+
+  @Test
+  void should_quarantine_the_next_part_if_crashes_go_on_without_the_deepest() {
+    crash(1, "bad", "after");
+    crash(2, "bad", "after");
+    crash(3, "bad", "after");
+
+    crash(4, "bad", "other");
+
+    assertEquals(List.of("after", "bad"), ledger.quarantinedParts());
+  }
+
+  @Test
+  void should_release_a_quarantined_part_that_is_answered() {
+    ledger.adopt("part", START);
+
+    List<QuarantineChange> changes = ledger.recordSound("part");
+
+    assertFalse(changes.get(0).isQuarantined());
+    assertEquals(List.of(), ledger.quarantinedParts());
+  }
+
+  @Test
+  void should_forget_evidence_that_is_old() {
+    crash(1, "part");
+    crash(2, "part");
+
+    ledger.expire(START.plusSeconds(2).plus(CrashLedger.EVIDENCE_VALIDITY));
+    crash(90, "part");
+
+    assertEquals(1, ledger.crashes("part"));
+  }
+
+  @Test
+  void should_release_a_part_some_time_after_its_last_crash() {
+    for (int i = 1; i <= 4; i++) {
+      crash(i, "bad");
+    }
+    Instant end = START.plusSeconds(4).plus(CrashLedger.QUARANTINE_VALIDITY);
+
+    List<QuarantineChange> early = ledger.expire(end.minusMillis(1));
+    List<QuarantineChange> atEnd = ledger.expire(end);
+
+    assertEquals(List.of(), early);
+    assertEquals(1, atEnd.size());
+  }
+
+  @Test
+  void should_bound_the_parts_and_keep_one_that_crashes_again() {
+    for (int i = 0; i < CrashLedger.MAX_PARTS; i++) {
+      crash(1, "part-" + i);
+    }
+    crash(2, "part-0");
+    crash(2, "another");
+
+    assertEquals(CrashLedger.MAX_PARTS, ledger.suspectedParts().size());
+    assertTrue(ledger.isSuspected("part-0"));
+    assertFalse(ledger.isSuspected("part-1"));
+  }
+}
