Join crash evidence of all entries at the leader

What callers saw: entries share nothing, so each of them had to see its own crashes before it could refuse a prompt part that crashes targets. Change: a heartbeat carries the crashes that the leader has not acknowledged, the suspected parts that were answered since and the quarantined parts of an earlier leader; the answer lists the suspected and the quarantined parts. The fields are not required, so older daemons need nothing. The leader keeps the ledger in memory only, next to the leases, and logs part-quarantined and part-released. Entries have nothing to report yet. Evidence: ReplicaRunnerTest.should_join_crash_evidence_of_several_daemons_until_a_part_is_answered is new, as the fields are; the class passes with it (6 tests).

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -147,7 +147,9 @@
             core.term(),
             duties.liveEntryInstances(now),
             duties.updateLimitShares(heartbeat, now),
-            duties.remoteLoad(heartbeat.daemon().name(), now)));
+            duties.remoteLoad(heartbeat.daemon().name(), now),
+            duties.suspectedParts(),
+            duties.quarantinedParts()));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -13,6 +13,11 @@
 import org.geraniumwharf.announcement.AnnouncementOrder;
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.state.ControlState;
+import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.quarantine.CrashLedger;
+import org.geraniumwharf.quarantine.QuarantineChange;
+import org.geraniumwharf.quarantine.QuarantineEvents;
+import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
 import org.geraniumwharf.schema.messages.OrganisationShare;
@@ -40,14 +45,17 @@
   private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(5);
 
   private final ControlOptions options;
+  private final EventLog log;
   private final Map<String, TargetLease> targetLeases = new HashMap<>();
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
+  private CrashLedger crashes = CrashLedger.create();
   private Instant leaderSince = Instant.MIN;
   private Instant nextPrune = Instant.MIN;
 
-  LeaderDuties(ControlOptions options) {
+  LeaderDuties(ControlOptions options, EventLog log) {
     this.options = options;
+    this.log = log;
   }
 
   /**
@@ -58,6 +66,7 @@
     targetLeases.clear();
     daemonLeases.clear();
     limitShares = LimitShareAllocator.create();
+    crashes = CrashLedger.create();
     leaderSince = now;
     nextPrune = now.plus(PRUNE_INTERVAL);
     Instant renewedAt = now.minus(options.targetLease()).plus(NEW_LEADER_GRACE);
@@ -75,6 +84,7 @@
       daemonLeases.put(
           call.daemon().name(), new DaemonLease(call.daemon(), call.targetWork(), now));
     }
+    recordCrashes(call, now);
     List<Command> commands = new ArrayList<>();
     for (TargetRenewal renewal : call.renewals()) {
       renewTargetLease(renewal.id(), renewal.incarnation(), renewal.sequence(), now);
@@ -88,6 +98,30 @@
     return commands;
   }
 
+  /**
+   * Joins the crash evidence of one daemon with that of the others. Parts that it found sound come
+   * first: it withdraws the evidence from before a complete answer itself.
+   */
+  private void recordCrashes(HeartbeatCall call, Instant now) {
+    List<QuarantineChange> changes = new ArrayList<>(crashes.expire(now));
+    call.quarantinedParts().forEach(part -> changes.addAll(crashes.adopt(part, now)));
+    call.soundParts().forEach(part -> changes.addAll(crashes.recordSound(part)));
+    for (CrashEvidence evidence : call.crashEvidence()) {
+      changes.addAll(crashes.recordCrash(evidence, now));
+    }
+    QuarantineEvents.log(log, changes);
+  }
+
+  /** Returns the prompt parts that are suspected to crash targets. */
+  List<String> suspectedParts() {
+    return crashes.suspectedParts();
+  }
+
+  /** Returns the prompt parts that entry instances must refuse. */
+  List<String> quarantinedParts() {
+    return crashes.quarantinedParts();
+  }
+
   /**
    * Records the demands that a daemon reports and returns its shares of the organisations' limits.
    * A new leader grants none until the shares granted by the previous leader have expired.
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -96,7 +96,7 @@
     this.sender = sender;
     this.log = log;
     this.clock = clock;
-    this.duties = new LeaderDuties(options);
+    this.duties = new LeaderDuties(options, log);
     this.placement = new PlacementDuty(options, log);
     this.viewStream = new ViewStream(state::view, this::memberNames);
     this.callHandler =
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -26,6 +26,10 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.CallFailed;
 import org.geraniumwharf.schema.messages.ControlAnswer;
+import org.geraniumwharf.schema.messages.CrashEvidence;
+import org.geraniumwharf.schema.messages.DaemonStatus;
+import org.geraniumwharf.schema.messages.HeartbeatAnswer;
+import org.geraniumwharf.schema.messages.HeartbeatCall;
 import org.geraniumwharf.schema.messages.NotLeader;
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishCall;
@@ -125,6 +129,42 @@
     assertTrue(storage.entries.size() < 12, "entries kept " + storage.entries.size());
   }
 
+  @Test
+  void should_join_crash_evidence_of_several_daemons_until_a_part_is_answered() throws Exception {
+    publishUntilLeading(0, "first");
+    heartbeat("entry-1", List.of(crash("target-1")), List.of());
+    heartbeat("entry-2", List.of(crash("target-2")), List.of());
+
+    HeartbeatAnswer suspected = heartbeat("entry-1", List.of(crash("target-2")), List.of());
+    HeartbeatAnswer quarantined = heartbeat("entry-2", List.of(crash("target-3")), List.of());
+    HeartbeatAnswer released = heartbeat("entry-1", List.of(), List.of("part"));
+
+    assertEquals(List.of("part"), suspected.suspectedParts());
+    assertEquals(List.of(), suspected.quarantinedParts());
+    assertEquals(List.of("part"), quarantined.quarantinedParts());
+    assertEquals(List.of(), released.quarantinedParts());
+  }
+
+  private static CrashEvidence crash(String target) {
+    return CrashEvidence.of(target, 1, List.of("part"));
+  }
+
+  private HeartbeatAnswer heartbeat(
+      String daemon, List<CrashEvidence> crashes, List<String> soundParts) throws Exception {
+    HeartbeatCall call =
+        HeartbeatCall.of(
+            DaemonStatus.of(daemon, 1, "dc-1", 1, 1, true, false, "-"),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            crashes,
+            soundParts,
+            List.of());
+    return assertInstanceOf(HeartbeatAnswer.class, runner.call(call).get(30, SECONDS));
+  }
+
   private ReplicaRunner start() {
     Instant now = Instant.now();
     RaftInitialState start =
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -13,6 +13,7 @@
 import org.geraniumwharf.admission.OrganisationLimiter;
 import org.geraniumwharf.internal.fleet.ControlClient;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.internal.fleet.CrashExchange;
 import org.geraniumwharf.internal.fleet.DeploymentWork;
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
@@ -174,6 +175,7 @@
         limiter,
         work,
         WorkExchange.none(),
+        CrashExchange.none(),
         log,
         clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -35,6 +35,7 @@
    * @param lease time without a fresh view after which the daemon stops serving
    * @param work work in flight, told to the leader
    * @param exchange relayed work, told to the other daemons
+   * @param crashes crash evidence, shared with the other daemons
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
@@ -49,6 +50,7 @@
       OrganisationLimiter limiter,
       DeploymentWork work,
       WorkExchange exchange,
+      CrashExchange crashes,
       EventLog log,
       InstantSource clock) {
     ControlReachability reachability = new ControlReachability(directory.names().size());
@@ -67,6 +69,7 @@
             limiter,
             work,
             exchange,
+            crashes,
             log,
             clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -10,6 +10,7 @@
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.quarantine.PartQuarantine;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
@@ -34,6 +35,7 @@
   private final OrganisationLimiter limiter;
   private final DeploymentWork work;
   private final WorkExchange exchange;
+  private final CrashExchange crashes;
   private final EventLog log;
   private final InstantSource clock;
   private final Semaphore changes = new Semaphore(0);
@@ -48,6 +50,7 @@
       OrganisationLimiter limiter,
       DeploymentWork work,
       WorkExchange exchange,
+      CrashExchange crashes,
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
@@ -59,6 +62,7 @@
     this.limiter = limiter;
     this.work = work;
     this.exchange = exchange;
+    this.crashes = crashes;
     this.log = log;
     this.clock = clock;
   }
@@ -101,6 +105,7 @@
     Instant now = clock.instant();
     FleetSnapshot view = holder.current();
     TargetRegistrations.Report report = registrations.takeReport(view, now);
+    PartQuarantine.Report crashReport = crashes.report();
     DaemonStatus status =
         identity
             .withConfigurationVersion(view.configuration().version())
@@ -116,11 +121,19 @@
                   report.renewals(),
                   limiter.drainDemands(now),
                   work.demands(),
-                  relayed),
+                  relayed,
+                  crashReport.crashes(),
+                  crashReport.soundParts(),
+                  crashReport.quarantinedParts()),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
       exchange.others(answer.targetWork(), clock.instant());
+      crashes.answered(
+          crashReport,
+          new PartQuarantine.LeaderLists(
+              answer.term(), answer.suspectedParts(), answer.quarantinedParts()),
+          clock.instant());
       if (answer.entryInstances() > 0) {
         limiter.applyShares(answer.entryInstances(), answer.shares(), clock.instant());
       }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -23,6 +23,7 @@
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.fleet.ControlClient;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.internal.fleet.CrashExchange;
 import org.geraniumwharf.internal.fleet.DeploymentWork;
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
@@ -115,6 +116,7 @@
             limiter,
             DeploymentWork.create(),
             settings.isEntry() ? workExchange() : WorkExchange.none(),
+            CrashExchange.none(),
             log,
             clock);
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
@@ -58,6 +58,7 @@
         OrganisationLimiter.create(),
         DeploymentWork.create(),
         new FailingExchange(),
+        CrashExchange.none(),
         EventLog.none(),
         clock);
   }
