Refuse requests with a prompt part that crashes targets

What callers saw: targets of an engine service crashed one after the other under requests with one prompt part, while sound requests with the same key and leading part were lost with them. Cause: an entry sent each such request to two targets and learned nothing from it, nor from others. Change: CrashWatch probes a target some 50 ms after a connection ended under a generation; a refused connection (no time-out) is a crash, logged as target-crashed. Its parts without a recent answer are evidence, which the heartbeats carry. Before each send a request with a quarantined part is refused with prompt-quarantined (503, or 502 if an attempt may have run). After a crash a request with a part suspected before is not sent to another target; others are, at once, as before.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -25,6 +25,8 @@
   private final Counter callersGoneUnsent = registry.counter("callers_gone_total.unsent");
   private final Counter callersGoneSent = registry.counter("callers_gone_total.sent");
 
+  private final Counter quarantinedRequests = registry.counter("quarantined_requests_total");
+
   private DaemonMetrics() {}
 
   public static DaemonMetrics create() {
@@ -62,6 +64,11 @@
     (isSent ? callersGoneSent : callersGoneUnsent).inc();
   }
 
+  /** Records a request that was refused because a part of its prompt is quarantined. */
+  public void requestQuarantined() {
+    quarantinedRequests.inc();
+  }
+
   public void retried() {
     retries.inc();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -33,6 +33,7 @@
 import org.geraniumwharf.internal.http.ApiServer;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
+import org.geraniumwharf.internal.relay.LoggedQuarantine;
 import org.geraniumwharf.internal.relay.Relay;
 import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
@@ -84,6 +85,7 @@
   private final TargetRegistrations registrations = TargetRegistrations.create(TARGET_LEASE);
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
   private final RelayLoadTable load = RelayLoadTable.create();
+  private final LoggedQuarantine quarantine;
   private final FleetMembership membership;
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
@@ -93,6 +95,7 @@
     this.edges = edges;
     this.log = log;
     this.clock = clock;
+    this.quarantine = LoggedQuarantine.create(log);
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
     this.network =
         PeerNetwork.create(
@@ -116,7 +119,7 @@
             limiter,
             DeploymentWork.create(),
             settings.isEntry() ? workExchange() : WorkExchange.none(),
-            CrashExchange.none(),
+            settings.isEntry() ? quarantine : CrashExchange.none(),
             log,
             clock);
   }
@@ -241,6 +244,7 @@
             edges.cache(),
             rules,
             load,
+            quarantine,
             limiter::entryInstances,
             loops,
             ControlDirectory.parseAddress(settings.entry().orElseThrow()),
@@ -249,6 +253,7 @@
             clock);
     relay = Optional.of(started);
     metrics.gauge("in_flight", started::inFlight);
+    metrics.gauge("quarantined_parts", () -> quarantine.size(clock.instant()));
     metrics.gauge("ready", () -> isReady() ? 1 : 0);
     startApi(settings.ready().orElseThrow(), edges.readiness(this::isReady));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -34,6 +34,7 @@
    * Starts to accept connections of callers and to poll the cache stores.
    *
    * @param load load of the targets, which the instances report to each other
+   * @param quarantine prompt parts that are refused
    * @param liveInstances number of live entry instances, including this one
    * @throws InterruptedException if the thread is interrupted while the listener is opened
    */
@@ -44,6 +45,7 @@
       CacheProtocol cache,
       Rules rules,
       RelayLoadTable load,
+      LoggedQuarantine quarantine,
       IntSupplier liveInstances,
       EventLoopGroup loops,
       InetSocketAddress address,
@@ -53,7 +55,16 @@
       throws InterruptedException {
     RelayState relay =
         RelayState.create(
-            holder, readiness, protocol, rules, load, liveInstances, metrics, log, clock);
+            holder,
+            readiness,
+            protocol,
+            rules,
+            load,
+            quarantine,
+            liveInstances,
+            metrics,
+            log,
+            clock);
     RelayServer server = new RelayServer(relay, loops);
     server.start(address);
     EventLoop loop = loops.next();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -128,6 +128,11 @@
 
   private void dispatch() {
     Instant now = relay.now();
+    Optional<ServingException> quarantined = relay.findQuarantined(request, now);
+    if (quarantined.isPresent()) {
+      reject(quarantined.get());
+      return;
+    }
     RelayQueue<RelayExchange> queue = relay.queue(request);
     boolean isDispatchable =
         queueEntry.isPresent() || !queue.mustQueue(request.priority(), request.footprint());
@@ -304,6 +309,7 @@
 
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay.load().recordSuccess(endedCall.target().id());
+    relay.recordSound(request);
     if (endCall(endedCall)) {
       finishWithResponse(head, body, "answered", endedCall);
     } else {
@@ -350,7 +356,16 @@
     if (!endCall(endedCall)) {
       return;
     }
-    if (request.isRetryable() && tryAcquireRetry(0)) {
+    relay
+        .crashWatch(caller.targetPool(), loop)
+        .callFailed(request, endedCall, mayRetry -> retryOrFail(endedCall, cause, mayRetry));
+  }
+
+  private void retryOrFail(TargetCall endedCall, String cause, boolean mayRetry) {
+    if (isDone) {
+      return;
+    }
+    if (mayRetry && request.isRetryable() && tryAcquireRetry(0)) {
       retry(endedCall, cause);
     } else if (isResponseStarted) {
       abort(cause);
@@ -423,6 +438,7 @@
       return;
     }
     if (isResponseStarted) {
+      relay.recordSound(request);
       finish("answered", endedCall.target().id(), "");
       caller.endResponse();
     } else {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
+import org.geraniumwharf.error.ServingErrors;
+import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
@@ -38,6 +40,7 @@
   private final RelayProtocol protocol;
   private final RelayPlacement placement;
   private final RelayLoadTable load;
+  private final LoggedQuarantine quarantine;
   private final Relay.Rules rules;
   private final IntSupplier liveInstances;
   private final DaemonMetrics metrics;
@@ -49,17 +52,20 @@
   private final TransferPlanner transferPlanner = TransferPlanner.of(storedParts);
   private volatile Optional<StoreEventPollers> storePollers = Optional.empty();
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
+  private final Map<TargetConnectionPool, CrashWatch> crashWatches = new ConcurrentHashMap<>();
 
   private RelayState(
       RelayAdmission admission,
       RelayProtocol protocol,
       Relay.Rules rules,
       RelayLoadTable load,
+      LoggedQuarantine quarantine,
       IntSupplier liveInstances,
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
     this.load = load;
+    this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
     this.placement = RelayPlacement.forDataCentre(rules.dataCentre());
@@ -81,13 +87,15 @@
       RelayProtocol protocol,
       Relay.Rules rules,
       RelayLoadTable load,
+      LoggedQuarantine quarantine,
       IntSupplier liveInstances,
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     RelayState relay =
-        new RelayState(admission, protocol, rules, load, liveInstances, metrics, log, clock);
+        new RelayState(
+            admission, protocol, rules, load, quarantine, liveInstances, metrics, log, clock);
     holder.onChange(
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds());
@@ -108,6 +116,32 @@
     return load;
   }
 
+  LoggedQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /** Returns the crash watch of a connection pool; used on the event loop of the pool. */
+  CrashWatch crashWatch(TargetConnectionPool pool, EventLoop loop) {
+    return crashWatches.computeIfAbsent(pool, watched -> new CrashWatch(this, loop, watched));
+  }
+
+  /** Returns the error for a generation whose prompt has a quarantined part. */
+  Optional<ServingException> findQuarantined(ResolvedRequest request, Instant now) {
+    if (!request.isGeneration()) {
+      return Optional.empty();
+    }
+    Optional<String> part = quarantine.findQuarantined(CrashWatch.partsOf(request), now);
+    part.ifPresent(found -> metrics.requestQuarantined());
+    return part.map(ServingErrors::promptQuarantined);
+  }
+
+  /** Records a complete answer to a request. */
+  void recordSound(ResolvedRequest request) {
+    if (request.isGeneration()) {
+      quarantine.recordSound(CrashWatch.partsOf(request), now());
+    }
+  }
+
   DaemonMetrics metrics() {
     return metrics;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -28,6 +28,7 @@
   private Optional<TargetConnection> connection = Optional.empty();
   private Optional<HttpResponse> head = Optional.empty();
   private TargetResponse.Verdict verdict = TargetResponse.Verdict.UNTRUSTED;
+  private int eventCount;
   private boolean isEnded;
 
   TargetCall(RelayExchange exchange, RelayTarget target, RelayLoadTable.InFlightRequest run) {
@@ -53,6 +54,11 @@
     return connection.isPresent();
   }
 
+  /** Returns the number of complete events of the stream that were received. */
+  int eventCount() {
+    return eventCount;
+  }
+
   boolean isEnded() {
     return isEnded;
   }
@@ -85,6 +91,7 @@
     }
     if (isEventStream()) {
       for (EventStreamDecoder.StreamEvent event : eventDecoder.decode(bytes)) {
+        eventCount++;
         exchange.eventReceived(this, head.orElseThrow(), event);
       }
       if (!isEnded && eventDecoder.partialEventBytes() > MAX_EVENT_BYTES) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -18,6 +18,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
@@ -64,6 +65,21 @@
     connect(address, opened, failed);
   }
 
+  /**
+   * Opens a new connection and closes it.
+   *
+   * @param done receives the cause if the connection failed
+   */
+  void probe(InetSocketAddress address, Consumer<Optional<Throwable>> done) {
+    connect(
+        address,
+        connection -> {
+          connection.close();
+          done.accept(Optional.empty());
+        },
+        cause -> done.accept(Optional.of(cause)));
+  }
+
   private void connect(
       InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
     ChannelFuture connecting = bootstrap().connect(address);
