Let a request under way not hide the part that crashes targets

Cause: if a sound request had been under way at the same three crashes and was reported first, its part was quarantined, and its crashes then counted against no other part: the real cause needed three crashes more. Change: crashes of a quarantined part still count against a part that had all of them, and the next crash that the quarantined part does not explain decides. Nothing is deleted from the evidence. Evidence: should_quarantine_the_cause_after_a_request_under_way_at_the_same_crashes failed with the ledger of before: "expected: <[under-way, bad]> but was: <[under-way]>". CrashLedgerTest (12), PartQuarantineTest (13) and PromptThatCrashesTargetsTest pass now.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -53,16 +54,14 @@
     List<Suspicion> explaining = evidence.parts().stream().flatMap(this::findQuarantined).toList();
     if (!explaining.isEmpty()) {
       explaining.forEach(suspicion -> suspicion.add(crash, now));
-      removeFromSuspected(Set.of(crash));
-      return List.of();
-    }
-    if (quarantined.values().stream().anyMatch(held -> held.crashes.contains(crash))) {
       return List.of();
     }
     for (int i = 0; i < evidence.parts().size(); i++) {
       suspect(evidence.parts().get(i), i, crash, now);
     }
-    return quarantineMostLikely(evidence.parts(), now);
+    boolean isExplained =
+        quarantined.values().stream().anyMatch(held -> held.crashes.contains(crash));
+    return isExplained ? List.of() : quarantineMostLikely(evidence.parts(), now);
   }
 
   private Stream<Suspicion> findQuarantined(String part) {
@@ -94,10 +93,9 @@
     Optional<String> mostLikely =
         parts.stream()
             .distinct()
-            .filter(part -> suspected.containsKey(part))
-            .filter(part -> suspected.get(part).crashes.size() >= QUARANTINE_CRASHES)
+            .filter(part -> crashes(part) >= QUARANTINE_CRASHES)
             .max(
-                Comparator.<String>comparingInt(part -> suspected.get(part).crashes.size())
+                Comparator.<String>comparingInt(this::crashes)
                     .thenComparingInt(part -> suspected.get(part).depth));
     if (mostLikely.isEmpty()) {
       return List.of();
@@ -106,20 +104,11 @@
     Suspicion suspicion = suspected.remove(part);
     quarantined.put(part, suspicion);
     dropOldest(quarantined);
-    suspected.values().stream()
-        .filter(other -> !other.crashes.containsAll(suspicion.crashes))
-        .forEach(other -> other.crashes.removeAll(suspicion.crashes));
-    suspected.values().removeIf(other -> other.crashes.isEmpty());
     return List.of(
         QuarantineChange.quarantined(
             part, suspicion.crashes.size(), "targets crashed under it, last at " + now));
   }
 
-  private void removeFromSuspected(Set<Crash> crashes) {
-    suspected.values().forEach(suspicion -> suspicion.crashes.removeAll(crashes));
-    suspected.values().removeIf(suspicion -> suspicion.crashes.isEmpty());
-  }
-
   /** Records a complete answer to a request with a part, which clears and releases the part. */
   public List<QuarantineChange> recordSound(String part) {
     suspected.remove(part);
@@ -167,23 +156,38 @@
     return changes;
   }
 
+  /** Returns whether a crash counts against a part that is not quarantined. */
   public boolean isSuspected(String part) {
-    return suspected.containsKey(part);
+    return suspected.containsKey(part) && crashes(part) > 0;
   }
 
   public boolean isQuarantined(String part) {
     return quarantined.containsKey(part);
   }
 
-  /** Returns the number of distinct crashes that count against a part. */
+  /**
+   * Returns the number of distinct crashes that count against a part. Crashes of a quarantined part
+   * do not, unless the part had all of them: then either may be the cause.
+   */
   public int crashes(String part) {
-    Suspicion suspicion = suspected.getOrDefault(part, quarantined.get(part));
-    return suspicion == null ? 0 : suspicion.crashes.size();
+    if (quarantined.containsKey(part)) {
+      return quarantined.get(part).crashes.size();
+    }
+    if (!suspected.containsKey(part)) {
+      return 0;
+    }
+    Set<Crash> counted = new HashSet<>(suspected.get(part).crashes);
+    for (Suspicion held : quarantined.values()) {
+      if (!suspected.get(part).crashes.containsAll(held.crashes)) {
+        counted.removeAll(held.crashes);
+      }
+    }
+    return counted.size();
   }
 
   /** Returns the suspected parts that are not quarantined; those of the oldest crashes first. */
   public List<String> suspectedParts() {
-    return List.copyOf(suspected.keySet());
+    return suspected.keySet().stream().filter(this::isSuspected).toList();
   }
 
   public List<String> quarantinedParts() {
