Give a drain no more notice time than half of its time

What callers saw: with a grace time shorter than the notice time of 2.6 s an entry took requests until it was killed, and all of them ended without an answer. The grace times in use are longer.

Cause: the notice time was constant, whatever the grace time. Change: it is at most half of the time of the drain, so that the other half is left for the requests under way. With 6 s of grace or more it stays 2.6 s.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -32,7 +32,7 @@
       Relay relay, Readiness readiness, Duration grace, Instant begun, InstantSource clock) {
     relay.startDraining(begun);
     Instant end = begun.plus(grace.multipliedBy(DRAIN_PERCENT).dividedBy(100));
-    Instant noticeEnd = begun.plus(NOTICE);
+    Instant noticeEnd = begun.plus(noticeTime(Duration.between(begun, end)));
     while (clock.instant().isBefore(noticeEnd)) {
       pause();
     }
@@ -48,6 +48,12 @@
     return cut;
   }
 
+  /** Keeps at least half of the time for the requests under way. */
+  private static Duration noticeTime(Duration drainTime) {
+    Duration half = drainTime.dividedBy(2);
+    return half.compareTo(NOTICE) < 0 ? half : NOTICE;
+  }
+
   private static void pause() {
     try {
       TimeUnit.MILLISECONDS.sleep(POLL.toMillis());
