Pass no request on from a connection that closes after the answer being sent

What callers saw: a request on a kept connection was run by a target and its connection closed without an answer (LOST).

Cause: a connection that is to close after its last answer, as each is while the entry drains, closes once that answer is written out. While a slow caller had not taken it yet, the connection counted as free, and a request that arrived was sent to a target. Change: from the end of its last answer on, such a connection ignores what arrives, and logs `relay-ignored`.

Evidence: AnswerStillSentTest, callers that read nothing: before, a target got 2 of 51 such requests ("expected: <0> but was: <2>"), now none.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -52,6 +53,11 @@
   private Instant openedAt = Instant.MIN;
   private boolean isKeepAlive;
 
+  /**
+   * A request that arrives while the last answer is sent gets no answer, so no target may run it.
+   */
+  private boolean isClosing;
+
   CallerConnection(
       RelayState relay,
       TargetConnectionPool targetPool,
@@ -113,7 +119,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext ignored, FullHttpRequest request) {
-    if (currentExchange.isEmpty()) {
+    if (isClosing) {
+      relay.log().info(Event.of("relay-ignored").with("cause", "the connection is being closed"));
+    } else if (currentExchange.isEmpty()) {
       startExchange(request.retain());
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
       pipelinedRequests.add(request.retain());
@@ -223,17 +231,22 @@
 
   private void writeLastAndContinue(Object message) {
     currentExchange = Optional.empty();
-    var written = context.writeAndFlush(message);
+    ChannelFuture written = context.writeAndFlush(message);
     if (!isKeepAlive) {
-      written.addListener(ChannelFutureListener.CLOSE);
+      closeAfter(written);
     } else if (!pipelinedRequests.isEmpty()) {
       startExchange(pipelinedRequests.poll());
     } else if (isDraining() && !abandonedRequests.hasPendingRequests()) {
       // The head of a stream that was started before the drain did not announce the close.
-      written.addListener(ChannelFutureListener.CLOSE);
+      closeAfter(written);
     }
   }
 
+  private void closeAfter(ChannelFuture written) {
+    isClosing = true;
+    var unused = written.addListener(ChannelFutureListener.CLOSE);
+  }
+
   // ------------------------------------------------------------------- events
 
   @Override
