Send answers to their ends before a draining entry closes connections and stops

What callers saw: an answer that its target had given whole was cut, without its last part, by a draining entry.

Cause: a request counted as ended once its answer was handed to the connection, though a slow caller had not taken it. The drain closed the connection as idle, 40 ms later at the latest, with what was not written out yet, and did not wait for it at its end either; the answers that are given at the stop had 40 ms on a loop that may lag by more.

Change: the drain neither closes a connection with an answer to send nor ends before it is sent, up to 87 % of the grace time, and the answers given then may be sent until 95 %.

Evidence: AnswerStillSentTest.should_send_answers_to_their_ends_to_slow_callers_of_a_draining_entry failed before (2 of 51 streams without their end) and passes now, with RequestTakenWhileDrainingTest (4 of 4) and ShortGraceTest.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -16,6 +16,9 @@
   /** Part of the grace time in which requests under way may still end, per cent. */
   private static final int DRAIN_PERCENT = 87;
 
+  /** Part of the grace time in which the last answers may still be sent, per cent. */
+  private static final int ANSWERS_PERCENT = 95;
+
   private static final Duration POLL = Duration.ofMillis(40);
 
   private RelayDrain() {}
@@ -37,17 +40,24 @@
       pause();
     }
     readiness.refusing();
-    while (relay.inFlight() > 0 && clock.instant().isBefore(end)) {
+    while (isBusy(relay) && clock.instant().isBefore(end)) {
       relay.closeIdleConnections();
       pause();
     }
     int cut = relay.inFlight();
     relay.cutRequests();
-    relay.closeIdleConnections();
-    pause();
+    Instant answersEnd = begun.plus(grace.multipliedBy(ANSWERS_PERCENT).dividedBy(100));
+    do {
+      relay.closeIdleConnections();
+      pause();
+    } while (isBusy(relay) && clock.instant().isBefore(answersEnd));
     return cut;
   }
 
+  private static boolean isBusy(Relay relay) {
+    return relay.inFlight() > 0 || relay.hasUnsentAnswers();
+  }
+
   /** Keeps at least half of the time for the requests under way. */
   private static Duration noticeTime(Duration drainTime) {
     Duration half = drainTime.dividedBy(2);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -58,6 +58,9 @@
    */
   private boolean isClosing;
 
+  /** The end of the newest answer. */
+  private volatile Optional<ChannelFuture> lastWrite = Optional.empty();
+
   CallerConnection(
       RelayState relay,
       TargetConnectionPool targetPool,
@@ -100,9 +103,24 @@
     context.executor().execute(() -> currentExchange.ifPresent(RelayExchange::instanceStopped));
   }
 
-  /** Closes the connection if it has no request in flight. May be called by any thread. */
+  /** Returns whether the caller has not yet taken an answer that ended. Safe for any thread. */
+  boolean hasUnsentAnswer() {
+    return lastWrite.filter(written -> !written.isDone()).isPresent();
+  }
+
+  /**
+   * Closes the connection if it has no request in flight and no answer to send. May be called by
+   * any thread.
+   */
   void scheduleCloseIfIdle() {
-    context.executor().execute(this::closeIfIdle);
+    context
+        .executor()
+        .execute(
+            () -> {
+              if (!hasUnsentAnswer()) {
+                closeIfIdle();
+              }
+            });
   }
 
   private void closeIfIdle() {
@@ -232,6 +250,7 @@
   private void writeLastAndContinue(Object message) {
     currentExchange = Optional.empty();
     ChannelFuture written = context.writeAndFlush(message);
+    lastWrite = Optional.of(written);
     if (!isKeepAlive) {
       closeAfter(written);
     } else if (!pipelinedRequests.isEmpty()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -82,11 +82,16 @@
     server.cutRequests();
   }
 
-  /** Closes the connections of callers that have no request in flight. */
+  /** Closes the connections of callers that have no request in flight and no answer to send. */
   public void closeIdleConnections() {
     server.closeIdleConnections();
   }
 
+  /** Returns whether a caller has not yet taken the whole answer to a request that ended. */
+  public boolean hasUnsentAnswers() {
+    return server.hasUnsentAnswers();
+  }
+
   /** Returns the number of requests in flight. */
   public int inFlight() {
     return server.inFlight();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -100,11 +100,16 @@
     connections.forEach(CallerConnection::scheduleCut);
   }
 
-  /** Closes the connections that have no request in flight. */
+  /** Closes the connections that have no request in flight and no answer to send. */
   void closeIdleConnections() {
     connections.forEach(connection -> connection.scheduleCloseIfIdle());
   }
 
+  /** Returns whether a caller has not yet taken the whole answer to a request that ended. */
+  boolean hasUnsentAnswers() {
+    return connections.stream().anyMatch(CallerConnection::hasUnsentAnswer);
+  }
+
   int inFlight() {
     return relay.inFlight().get();
   }
