Do not trust a refusal that does not carry its attempt

What callers saw: a request that a target was running could end as `not-run`, or be sent to a second target although its route allows one run, when the target wrote an earlier refusal once more on a kept connection. The tests show the wrong run state at the client of targets; the second run follows from RetryPolicy and is not shown by a test.

Cause: HttpTargetClient.serverError took `Geraniumwharf-Run: not-run` of any answer of 500 and above without comparing the attempt that the answer carries back with the one that was sent. Only answers below 500 were compared.

Change: a refusal counts as `not-run` only if it carries the attempt; else the request may have run. Engines had to carry it already.

Evidence: HttpTargetClientTest, 9 of 13 tests failed before, all with "expected: <MAY_HAVE_RUN> but was: <NOT_RUN>": should_not_trust_the_refusal_of_another_attempt (4 kinds of call), should_not_trust_a_refusal_without_an_attempt (4) and should_not_trust_an_earlier_refusal_repeated_on_a_kept_connection. should_trust_a_refusal_that_carries_its_attempt (4) passed before and after.

Measured after: HttpTargetClientTest, 13 tests run, 0 failures.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -121,9 +121,12 @@
       }
     }
 
+    /** A refusal that does not carry the attempt's id may be that of an earlier request. */
     private TargetCallException serverError(Response response) {
       String reason = "it answered " + response.code();
-      boolean isNotRun = TargetHeaders.NOT_RUN.equals(response.header(TargetHeaders.RUN));
+      boolean isNotRun =
+          TargetHeaders.NOT_RUN.equals(response.header(TargetHeaders.RUN))
+              && request.attempt().equals(response.header(TargetHeaders.ATTEMPT));
       return isNotRun
           ? TargetCallException.notRun(request.target().id(), reason)
           : TargetCallException.unclear(request.target().id(), reason);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/TargetHeaders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/TargetHeaders.java
@@ -9,7 +9,10 @@
   /** Load report of the answering target, as JSON. */
   public static final String LOAD = "Geraniumwharf-Load";
 
-  /** With the value {@link #NOT_RUN}, a refusal of work that was certainly not begun. */
+  /**
+   * With the value {@link #NOT_RUN} and the request's attempt in {@link #ATTEMPT}, a refusal of
+   * work that was certainly not begun.
+   */
   public static final String RUN = "Geraniumwharf-Run";
 
   /** Value of {@link #RUN}. */
