Cut a started stream when an engine rejects its rest

What callers saw: a stream that broke and was sent on to a second engine could hold the body of that engine's rejection in its middle, and then ended without an error.

Cause: StreamDispatcher.runAttempt relayed every TargetRejection as a whole answer, also after events of an earlier attempt had been sent.

Change: once an event was sent, with or without a token, a rejection fails its attempt as one that may have run. The stream goes on at another engine within the attempts, the time and the retry budget, or ends with the error event and without its end mark, as for other failures. A rejection names its target for this. Before the first event a rejection is relayed as before.

Evidence: StreamDispatcherTest, 3 of 4 tests failed before (with the name of the target already in TargetRejection): should_cut_a_started_stream_whose_rest_every_engine_rejects and should_cut_a_stream_that_started_without_a_token with "Expected org.geraniumwharf.error.ServingException to be thrown, but nothing was thrown", and should_resume_at_a_third_engine_when_the_second_rejects_the_rest with "expected: <0> but was: <1>" whole answers. should_relay_a_rejection_before_the_first_event passed before and after. The bytes at a caller's socket are not tested.

Measured after: the tests of the packages target and serving, 35 tests run, 0 failures.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/StreamDispatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/StreamDispatcher.java
@@ -20,7 +20,8 @@
 /**
  * Streams a generation to the caller. If the first token is late, a second attempt is hedged
  * against the first. If a stream fails, it is resumed after the last relayed token on another
- * engine of the same model version.
+ * engine of the same model version. An engine's rejection is relayed only before the first event;
+ * later it fails the attempt.
  */
 public final class StreamDispatcher {
 
@@ -127,6 +128,10 @@
         throw e;
       }
     } catch (TargetRejection e) {
+      if (job.progress().isStarted()) {
+        throw TargetCallException.unclear(
+            e.target(), "it answered " + e.answer().status() + " for the rest of the stream");
+      }
       sendWhole(e.answer(), sink);
     }
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/StreamProgress.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/serving/StreamProgress.java
@@ -29,6 +29,11 @@
     this.route = route;
   }
 
+  /** Returns whether any event was passed on, with or without a token. */
+  boolean isStarted() {
+    return isStarted;
+  }
+
   int tokens() {
     return tokens;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -65,7 +65,7 @@
   public TargetAnswer generate(TargetRequest request) throws TargetCallException, TargetRejection {
     TargetAnswer answer = new Exchange(reusing, request).whole(MAX_GENERATED_BYTES, true);
     if (answer.status() >= FIRST_CLIENT_ERROR) {
-      throw new TargetRejection(answer);
+      throw TargetRejection.of(request.target().id(), answer);
     }
     return answer;
   }
@@ -205,7 +205,8 @@
       try {
         exchange.checkAttempt(response, true);
         if (response.code() >= FIRST_CLIENT_ERROR) {
-          throw new TargetRejection(exchange.wholeAnswer(response, MAX_GENERATED_BYTES));
+          throw TargetRejection.of(
+              exchange.request.target().id(), exchange.wholeAnswer(response, MAX_GENERATED_BYTES));
         }
         return new HttpEngineStream(exchange, response);
       } catch (TargetCallException | TargetRejection e) {
