Answer the calls that a control instance takes in its last step

What callers saw: calls to a stopping control instance got no answer at all and ended with their own timeouts.

Cause: the thread of a replica failed the calls that it had handled when it stopped, not those that still waited in its queue, and a call that was queued just after its last look was never seen by anyone. Change: a call that was not begun when the thread stops is refused as not applied, by the thread or by whoever queues it.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -67,6 +69,7 @@
   private final ViewStream viewStream;
   private final CallHandler callHandler;
   private final BlockingQueue<Runnable> inputs = new LinkedBlockingQueue<>(MAX_QUEUED_INPUTS);
+  private final Set<QueuedCall> queuedCalls = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private final Thread thread;
 
@@ -132,12 +135,39 @@
   @Override
   public CompletableFuture<ControlAnswer> call(PeerMessage call) {
     CompletableFuture<ControlAnswer> answer = new CompletableFuture<>();
-    if (!submit(() -> callHandler.handle(call, answer, clock.instant()))) {
-      answer.complete(PendingCalls.failed("the control instance is stopping or full", false));
+    QueuedCall queued = new QueuedCall(call, answer);
+    queuedCalls.add(queued);
+    if (!submit(() -> handleQueued(queued)) || isStopping) {
+      refuseIfQueued(queued);
     }
     return answer;
   }
 
+  private void handleQueued(QueuedCall queued) {
+    if (queuedCalls.remove(queued)) {
+      callHandler.handle(queued.call, queued.answer, clock.instant());
+    }
+  }
+
+  private void refuseIfQueued(QueuedCall queued) {
+    if (queuedCalls.remove(queued)) {
+      queued.answer.complete(
+          PendingCalls.failed("the control instance is stopping or full", false));
+    }
+  }
+
+  /** A call that the replica's thread has not begun to handle; each is equal only to itself. */
+  private static final class QueuedCall {
+
+    private final PeerMessage call;
+    private final CompletableFuture<ControlAnswer> answer;
+
+    QueuedCall(PeerMessage call, CompletableFuture<ControlAnswer> answer) {
+      this.call = call;
+      this.answer = answer;
+    }
+  }
+
   @Override
   public void watch(long afterIndex, ViewSink sink) {
     submit(() -> viewStream.addWatcher(afterIndex, sink, viewAgeMillis(clock.instant())));
@@ -202,6 +232,7 @@
     } finally {
       isStopping = true;
       pendingCalls.failAll();
+      queuedCalls.forEach(this::refuseIfQueued);
       stopped.complete(null);
     }
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.locks.LockSupport;
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.raft.RaftCore;
 import org.geraniumwharf.internal.raft.RaftInitialState;
@@ -59,6 +60,8 @@
           1000,
           ControlOptions.MEMBERS_BY_OPERATORS);
 
+  private static final long CALL_INTERVAL_NANOS = 20_000;
+
   private final FakeStorage storage = new FakeStorage();
   private final ReplicaRunner runner = start();
 
@@ -165,6 +168,24 @@
     return assertInstanceOf(HeartbeatAnswer.class, runner.call(call).get(30, SECONDS));
   }
 
+  /** Guards against calls that a replica took in its last step and never answered. */
+  @Test
+  void should_answer_every_call_that_arrives_while_it_stops() throws Exception {
+    publishUntilLeading(0, "first");
+    List<CompletableFuture<ControlAnswer>> answers = new ArrayList<>();
+
+    CompletableFuture<Void> stopped = runner.shutdown();
+    while (!stopped.isDone()) {
+      answers.add(publish(1, "late"));
+      LockSupport.parkNanos(CALL_INTERVAL_NANOS);
+    }
+
+    CompletableFuture<Void> all =
+        CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new));
+    all.completeOnTimeout(null, 2, SECONDS).join();
+    assertEquals(0, answers.stream().filter(answer -> !answer.isDone()).count());
+  }
+
   private ReplicaRunner start() {
     Instant now = Instant.now();
     RaftInitialState start =
