End the intake of a drain at its time, not when the draining thread wakes

Cause: new requests were refused from the moment at which the draining thread woke up after the notice time. On an entry short of processor time that thread may be late, and intake goes on meanwhile, past the time in which a cut is allowed. Change: the time is set when the drain starts, and admission compares it with the present time of the request.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/Readiness.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/Readiness.java
@@ -13,7 +13,7 @@
   private final Duration lease;
   private volatile long requiredIndex = Long.MAX_VALUE;
   private volatile boolean isLeaving;
-  private volatile boolean isRefusing;
+  private volatile Instant refusesFrom = Instant.MAX;
 
   private Readiness(FleetViewHolder view, ControlReachability reachability, Duration lease) {
     this.view = view;
@@ -41,7 +41,12 @@
 
   /** Refuses new requests from now on. */
   public void refusing() {
-    isRefusing = true;
+    refuseFrom(Instant.MIN);
+  }
+
+  /** Refuses new requests from a time on. */
+  public void refuseFrom(Instant time) {
+    refusesFrom = time;
   }
 
   public boolean isLeaving() {
@@ -59,7 +64,7 @@
    * @throws ServingException if not; the request has not run
    */
   public void check(Instant now) throws ServingException {
-    if (isRefusing) {
+    if (!now.isBefore(refusesFrom)) {
       throw ServingErrors.shuttingDown();
     }
     if (view.current().index() < requiredIndex) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/RelayDrain.java
@@ -36,10 +36,10 @@
     relay.startDraining(begun);
     Instant end = begun.plus(grace.multipliedBy(DRAIN_PERCENT).dividedBy(100));
     Instant noticeEnd = begun.plus(noticeTime(Duration.between(begun, end)));
+    readiness.refuseFrom(noticeEnd);
     while (clock.instant().isBefore(noticeEnd)) {
       pause();
     }
-    readiness.refusing();
     while (isBusy(relay) && clock.instant().isBefore(end)) {
       relay.closeIdleConnections();
       pause();
