Read callers' connections again after each 20 ms of starts of requests

An entry short of processor time sent a request to its target although its caller had left more than half a second before (GONE). Cause: what one pass of the event loop starts had no bound. Up to 64 requests were started in one pass, and a request whose connection to its target opened in that pass was sent behind all of them, with a close of its caller still unread. RequestStarter starts requests in order of arrival and lets the loop read after 20 ms of it.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
@@ -26,12 +26,15 @@
           .respectMaybeMoreData(false)
           .maxMessagesPerRead(MAX_READS_PER_PASS);
 
+  private final RequestStarter starter;
   private final EventLoopLag loopLag;
   private final DaemonMetrics metrics;
   private final EventLog log;
   private final Deque<Object> pending = new ArrayDeque<>();
 
-  AbandonedRequestHandler(EventLoopLag loopLag, DaemonMetrics metrics, EventLog log) {
+  AbandonedRequestHandler(
+      RequestStarter starter, EventLoopLag loopLag, DaemonMetrics metrics, EventLog log) {
+    this.starter = starter;
     this.loopLag = loopLag;
     this.metrics = metrics;
     this.log = log;
@@ -51,7 +54,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     pending.add(message);
     if (pending.size() == 1) {
-      context.executor().execute(() -> forwardPending(context));
+      starter.add(() -> forwardPending(context));
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -38,6 +38,7 @@
   private final EventLoopGroup loops;
   private final Map<EventLoop, TargetConnectionPool> targetPools = new ConcurrentHashMap<>();
   private final Map<EventLoop, EventLoopLag> loopLags = new ConcurrentHashMap<>();
+  private final Map<EventLoop, RequestStarter> requestStarters = new ConcurrentHashMap<>();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile Optional<Instant> drainingSince = Optional.empty();
 
@@ -58,7 +59,7 @@
             channel.eventLoop(),
             loop -> EventLoopLag.start(loop, relay.clock(), LagReporter.create(relay)));
     AbandonedRequestHandler abandonedRequests =
-        new AbandonedRequestHandler(loopLag, relay.metrics(), relay.log());
+        new AbandonedRequestHandler(requestStarter(channel), loopLag, relay.metrics(), relay.log());
     CallerConnection connection =
         new CallerConnection(
             relay,
@@ -84,6 +85,11 @@
         .addLast(connection);
   }
 
+  private RequestStarter requestStarter(Channel channel) {
+    return requestStarters.computeIfAbsent(
+        channel.eventLoop(), loop -> new RequestStarter(loop, relay.clock()));
+  }
+
   private TargetConnectionPool targetPool(Channel channel) {
     return targetPools.computeIfAbsent(
         channel.eventLoop(),
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/AbandonedRequestHandlerTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/AbandonedRequestHandlerTest.java
@@ -11,14 +11,22 @@
 import java.time.Instant;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class AbandonedRequestHandlerTest {
 
   private final EventLoopLag lag = EventLoopLag.unscheduled(() -> Instant.ofEpochSecond(1000));
+  private final EmbeddedChannel channel = new EmbeddedChannel();
+  private final RequestStarter starter =
+      new RequestStarter(channel.eventLoop(), () -> Instant.ofEpochSecond(1000));
   private final AbandonedRequestHandler handler =
-      new AbandonedRequestHandler(lag, DaemonMetrics.create(), EventLog.none());
-  private final EmbeddedChannel channel = new EmbeddedChannel(handler);
+      new AbandonedRequestHandler(starter, lag, DaemonMetrics.create(), EventLog.none());
+
+  @BeforeEach
+  void addHandler() {
+    channel.pipeline().addLast(handler);
+  }
 
   @Test
   void should_forward_requests_in_order_once_the_connection_is_read() {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/CloseBehindRequestTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/CloseBehindRequestTest.java
@@ -95,7 +95,8 @@
   private List<Socket> connectCallers() throws IOException, InterruptedException {
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
     EventLoopLag lag = EventLoopLag.start(loops.next(), Clock.systemUTC(), measured -> {});
-    HttpListener.open(loops, address, CALLERS, channel -> addHandlers(channel, lag));
+    RequestStarter starter = new RequestStarter(loops.next(), Clock.systemUTC());
+    HttpListener.open(loops, address, CALLERS, channel -> addHandlers(channel, starter, lag));
     List<Socket> callers = new ArrayList<>();
     for (int i = 0; i < CALLERS; i++) {
       callers.add(new Socket(address.getAddress(), address.getPort()));
@@ -110,12 +111,12 @@
     }
   }
 
-  private void addHandlers(SocketChannel channel, EventLoopLag lag) {
+  private void addHandlers(SocketChannel channel, RequestStarter starter, EventLoopLag lag) {
     channel.closeFuture().addListener(closed -> ended.incrementAndGet());
     channel
         .pipeline()
         .addLast(new SlowReads())
-        .addLast(new AbandonedRequestHandler(lag, DaemonMetrics.create(), EventLog.none()))
+        .addLast(new AbandonedRequestHandler(starter, lag, DaemonMetrics.create(), EventLog.none()))
         .addLast(new StartedRequests());
     accepted.incrementAndGet();
   }
