Send nothing to a target that says it leaves, or asks for a pause

A target that leaves says so in its answers before the fleet knows it, and one that turns a request away may say for how long it wants none. Both were ignored: the entry went on to send there until the announcement came by way of the leader, and counted the refusal as a short backoff of 80 ms and up. The adapter reads Server-Leaving and Retry-After of a 503 into a TargetNotice. TargetAvailability, pure and with the time as an argument, decides: a leaving target gets nothing until a later process of it is announced; a pause holds to its end, 2 minutes at the most, and is followed by a delay of each entry's own and 300 ms with one request at a time. A request whose target closes while its connection opens is placed again; a pause is no failure, so nothing is ejected and no crash is suspected; a request that would wait for longer than it may queue is refused at once, with the time of the first opening. The client for stores, reports and orders holds pauses too. TargetAvailabilityTest has the properties of the decision.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -3,16 +3,19 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
  * Load that this instance has in flight at each target, load that other instances reported, and the
- * health of each target. Safe for use by several threads; no other lock is taken while its lock is
- * held.
+ * health and availability of each target. Safe for use by several threads; no other lock is taken
+ * while its lock is held.
  */
 public final class RelayLoadTable {
 
@@ -23,12 +26,20 @@
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, TargetWork> remoteLoad = new HashMap<>();
+  private final TargetAvailability availability;
   private Instant remoteLoadExpiresAt = Instant.MIN;
 
-  private RelayLoadTable() {}
+  private RelayLoadTable(TargetAvailability availability) {
+    this.availability = availability;
+  }
 
-  public static RelayLoadTable create() {
-    return new RelayLoadTable();
+  /**
+   * Creates the table of an instance.
+   *
+   * @param instance name of the instance
+   */
+  public static RelayLoadTable forInstance(String instance) {
+    return new RelayLoadTable(TargetAvailability.forInstance(instance));
   }
 
   /**
@@ -41,6 +52,8 @@
    *     the local load is counted
    * @param cachedTokens tokens of the prompt that the target probably has cached
    * @param isEjected whether the target gets no requests because of recent failures or rejections
+   * @param isAccepting whether the target has not announced in its responses that it is leaving or
+   *     wants no requests
    */
   public record Load(
       int inFlight,
@@ -48,7 +61,8 @@
       long backlogMillis,
       boolean hasRemoteReport,
       int cachedTokens,
-      boolean isEjected) {}
+      boolean isEjected,
+      boolean isAccepting) {}
 
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
@@ -65,7 +79,8 @@
         entry.backlogMillis + remote.backlogMillis(),
         hasRemoteReport,
         cachedTokens,
-        entry.health.isEjected(now));
+        entry.health.isEjected(now),
+        availability.isAccepting(target, entry.inFlight, now));
   }
 
   /** Returns the load of this instance, as it is reported to the other instances. */
@@ -139,13 +154,36 @@
     entry(target).health.recordUnreachable(now);
   }
 
+  /**
+   * Records what a target states in a response about further requests.
+   *
+   * @return whether the notice closes the target, which accepted requests before
+   */
+  public synchronized boolean recordNotice(RelayTarget target, TargetNotice notice, Instant now) {
+    return availability.recordNotice(target, notice, now);
+  }
+
+  /** Returns whether a target is leaving or pauses, so that nothing may be sent to it. */
+  public synchronized boolean isClosed(RelayTarget target, Instant now) {
+    return availability.isClosed(target, now);
+  }
+
+  /** Returns when the first of some targets accepts requests; empty if all are leaving. */
+  public synchronized Optional<Instant> opensAt(Collection<RelayTarget> targets, Instant now) {
+    return targets.stream()
+        .map(target -> availability.opensAt(target, now))
+        .flatMap(Optional::stream)
+        .min(Comparator.naturalOrder());
+  }
+
   /** Removes all parts cached at a target, which no longer apply once it has loaded new weights. */
   public synchronized void clearCachedParts(String target) {
     entry(target).parts.clear();
   }
 
   /** Removes targets that are not in the given set, except those with requests in flight. */
-  public synchronized void retainTargets(Set<String> targets) {
+  public synchronized void retainTargets(Set<String> targets, Instant now) {
+    availability.retainTargets(targets, now);
     entries
         .entrySet()
         .removeIf(entry -> entry.getValue().inFlight == 0 && !targets.contains(entry.getKey()));
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -92,7 +92,7 @@
       RelayLoadTable.Load load) {}
 
   /**
-   * Returns the cheapest target that has free capacity and is not ejected.
+   * Returns the cheapest target that accepts requests, has free capacity and is not ejected.
    *
    * @param storedTokens tokens at the start of the prompt that cache stores hold
    * @param excluded targets that this request was already sent to
@@ -107,20 +107,18 @@
       int instances,
       Instant now) {
     String preferred = preferredTarget(resolved, targets);
-    List<Choice> open = new ArrayList<>();
-    for (RelayTarget target : targets) {
-      RelayLoadTable.Load load = table.load(target, resolved, now);
-      if (!excluded.contains(target.id()) && !load.isEjected()) {
-        evaluate(resolved, target, preferred, load, storedTokens, instances).ifPresent(open::add);
-      }
-    }
+    List<Choice> open =
+        openChoices(resolved, targets, preferred, table, storedTokens, excluded, instances, now)
+            .filter(choice -> !choice.load().isEjected())
+            .toList();
     return comparedChoices(resolved, open, preferred, instances)
         .min(Comparator.comparingDouble(Choice::costMillis));
   }
 
   /**
-   * Returns the cheapest target that has free capacity, including ejected ones. Meant for a request
-   * whose response has started: it can neither be queued nor rejected and would otherwise be lost.
+   * Returns the cheapest target that accepts requests and has free capacity, including ejected
+   * ones. Meant for a request whose response has started: it can neither be queued nor rejected and
+   * would otherwise be lost.
    */
   public Optional<Choice> chooseIncludingEjected(
       ResolvedRequest resolved,
@@ -130,16 +128,30 @@
       int instances,
       Instant now) {
     String preferred = preferredTarget(resolved, targets);
-    return targets.stream()
-        .filter(target -> !excluded.contains(target.id()))
-        .map(
-            target ->
-                evaluate(
-                    resolved, target, preferred, table.load(target, resolved, now), 0, instances))
-        .flatMap(Optional::stream)
+    return openChoices(resolved, targets, preferred, table, 0, excluded, instances, now)
         .min(Comparator.comparingDouble(Choice::costMillis));
   }
 
+  /** Returns a choice for each target that accepts requests and has free capacity. */
+  private Stream<Choice> openChoices(
+      ResolvedRequest resolved,
+      List<RelayTarget> targets,
+      String preferred,
+      RelayLoadTable table,
+      int storedTokens,
+      Set<String> excluded,
+      int instances,
+      Instant now) {
+    List<Choice> open = new ArrayList<>();
+    for (RelayTarget target : targets) {
+      RelayLoadTable.Load load = table.load(target, resolved, now);
+      if (!excluded.contains(target.id()) && load.isAccepting()) {
+        evaluate(resolved, target, preferred, load, storedTokens, instances).ifPresent(open::add);
+      }
+    }
+    return open.stream();
+  }
+
   /** A choice with the rank, from 0 to 1, that a hash of the request gives its target. */
   private record RankedChoice(Choice choice, double rank) {}
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -65,8 +65,7 @@
    */
   public synchronized Admission<T> offer(
       T item, int priority, long size, Instant deadline, Instant now) {
-    Duration callerLimit = Duration.between(now, deadline).dividedBy(CALLER_TIME_DIVISOR);
-    Duration maxWait = callerLimit.compareTo(MAX_WAIT) < 0 ? callerLimit : MAX_WAIT;
+    Duration maxWait = maxWait(deadline, now);
     Entry<T> entry = new Entry<>(item, priority, size, nextSequence, now.plus(maxWait));
     int ahead = entries.headSet(entry).size();
     Duration expected = Duration.ofMillis((long) ((ahead + 1) * meanGapMillis));
@@ -78,6 +77,12 @@
     return new Admission<>(Optional.of(entry), expected);
   }
 
+  /** Returns the longest time for which a request with this deadline is queued. */
+  public static Duration maxWait(Instant deadline, Instant now) {
+    Duration callerLimit = Duration.between(now, deadline).dividedBy(CALLER_TIME_DIVISOR);
+    return callerLimit.compareTo(MAX_WAIT) < 0 ? callerLimit : MAX_WAIT;
+  }
+
   /**
    * Returns whether a request that arrives has to be queued, because an entry that is at least as
    * urgent and not larger is waiting. A large entry that waits for memory does not block smaller
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTarget.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTarget.java
@@ -4,10 +4,16 @@
  * A target that can serve relayed requests.
  *
  * @param id instance id of the target
+ * @param incarnation start of its process; a later process of the target has a greater one
  * @param address host:port
  * @param dataCentre data centre of the target
  * @param slots number of requests that it runs at the same time; 0 when unknown
  * @param weightsVersion version of its weights; 0 when it has none
  */
 public record RelayTarget(
-    String id, String address, String dataCentre, int slots, long weightsVersion) {}
+    String id,
+    long incarnation,
+    String address,
+    String dataCentre,
+    int slots,
+    long weightsVersion) {}
--- /dev/null
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetNotice.java
@@ -0,0 +1,37 @@
+package org.geraniumwharf.relay;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What a target states in the head of a response about the requests that it wants from now on.
+ *
+ * @param isLeaving whether the target is about to stop
+ * @param pause time in which the target wants no further requests from this instance
+ */
+public record TargetNotice(boolean isLeaving, Optional<Duration> pause) {
+
+  /** Longest pause that is observed, so that one wrong value does not exclude a target for good. */
+  static final Duration MAX_PAUSE = Duration.ofMinutes(2);
+
+  private static final TargetNotice NONE = new TargetNotice(false, Optional.empty());
+
+  /** Returns the notice of a response that says nothing about further requests. */
+  public static TargetNotice none() {
+    return NONE;
+  }
+
+  /** Creates a notice. A pause that is too long is shortened; one that is not positive is none. */
+  public static TargetNotice of(boolean isLeaving, Optional<Duration> pause) {
+    Optional<Duration> bounded =
+        pause
+            .filter(asked -> !asked.isNegative() && !asked.isZero())
+            .map(asked -> asked.compareTo(MAX_PAUSE) < 0 ? asked : MAX_PAUSE);
+    return new TargetNotice(isLeaving, bounded);
+  }
+
+  /** Returns whether the response says nothing about further requests. */
+  public boolean isEmpty() {
+    return !isLeaving && pause.isEmpty();
+  }
+}
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -25,7 +25,7 @@
   private static final PromptPart OWN = new PromptPart("own", 2000);
   private static final ResolvedRequest DRAFT = TestRequests.generation(COMMON, CONTEXT, OWN);
 
-  private final RelayLoadTable load = RelayLoadTable.create();
+  private final RelayLoadTable load = RelayLoadTable.forInstance("entry-1");
 
   @Test
   void should_agree_with_other_instances_on_the_preferred_target_of_a_context() {
@@ -34,7 +34,7 @@
     Optional<RelayPlacement.Choice> other =
         RelayPlacement.forDataCentre("dc-1")
             .choose(
-                DRAFT, TARGETS, RelayLoadTable.create(), 0, Set.of(), INSTANCES, TestRequests.NOW);
+                DRAFT, TARGETS, RelayLoadTable.forInstance("entry-1"), 0, Set.of(), INSTANCES, TestRequests.NOW);
 
     assertEquals(preferred, other.orElseThrow().target().id());
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
@@ -43,7 +43,7 @@
       engines.add(TestRequests.target("engine-" + i));
     }
     for (int i = 0; i < instances; i++) {
-      tables.add(RelayLoadTable.create());
+      tables.add(RelayLoadTable.forInstance("entry-" + i));
     }
   }
 
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
@@ -0,0 +1,134 @@
+package org.geraniumwharf.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class TargetAvailabilityTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1000);
+  private static final TargetNotice LEAVING = TargetNotice.of(true, Optional.empty());
+  private static final RelayTarget TARGET = TestRequests.target("engine-1");
+
+  private final TargetAvailability availability = TargetAvailability.forInstance("entry-1");
+
+  @Test
+  void should_close_a_leaving_target_until_a_later_process_of_it() {
+    boolean isNews = availability.recordNotice(TARGET, LEAVING, NOW);
+    boolean isNewsAgain = availability.recordNotice(TARGET, LEAVING, NOW.plusSeconds(1));
+
+    assertTrue(isNews);
+    assertFalse(isNewsAgain);
+    assertTrue(availability.isClosed(TARGET, NOW.plusSeconds(3600)));
+    assertFalse(availability.isAccepting(TARGET, 0, NOW.plusSeconds(3600)));
+    assertEquals(Optional.empty(), availability.opensAt(TARGET, NOW));
+    assertFalse(availability.isClosed(laterProcess(), NOW));
+    assertTrue(availability.isAccepting(laterProcess(), 5, NOW));
+  }
+
+  @Test
+  void should_not_let_a_notice_of_an_earlier_process_close_a_later_one() {
+    availability.recordNotice(laterProcess(), TargetNotice.of(false, seconds(1)), NOW);
+
+    availability.recordNotice(TARGET, LEAVING, NOW.plusSeconds(5));
+
+    assertTrue(availability.isClosed(laterProcess(), NOW));
+  }
+
+  @Test
+  void should_keep_a_leaving_target_closed_after_it_was_not_announced_for_a_while() {
+    availability.recordNotice(TARGET, LEAVING, NOW);
+
+    availability.retainTargets(Set.of(), NOW.plusSeconds(30));
+
+    assertTrue(availability.isClosed(TARGET, NOW.plusSeconds(30)));
+  }
+
+  @Test
+  void should_forget_targets_that_are_long_gone() {
+    availability.recordNotice(TARGET, LEAVING, NOW);
+
+    availability.retainTargets(Set.of(TARGET.id()), NOW.plusSeconds(3000));
+    boolean isClosedWhileAnnounced = availability.isClosed(TARGET, NOW.plusSeconds(3000));
+    availability.retainTargets(Set.of(), NOW.plusSeconds(6000));
+
+    assertTrue(isClosedWhileAnnounced);
+    assertFalse(availability.isClosed(TARGET, NOW.plusSeconds(6000)));
+  }
+
+  @Property
+  void should_send_nothing_before_the_end_of_a_pause(
+      @ForAll @IntRange(min = 1, max = 200_000) int pauseMillis,
+      @ForAll @IntRange(min = 0, max = 200_000) int atMillis,
+      @ForAll @IntRange(min = 0, max = 50) int instance) {
+    TargetAvailability table = TargetAvailability.forInstance("entry-" + instance);
+    Duration pause = Duration.ofMillis(pauseMillis);
+
+    table.recordNotice(TARGET, TargetNotice.of(false, Optional.of(pause)), NOW);
+
+    Duration observed =
+        pause.compareTo(TargetNotice.MAX_PAUSE) < 0 ? pause : TargetNotice.MAX_PAUSE;
+    Instant at = NOW.plusMillis(atMillis);
+    if (at.isBefore(NOW.plus(observed))) {
+      assertTrue(table.isClosed(TARGET, at));
+      assertFalse(table.isAccepting(TARGET, 0, at));
+      assertTrue(table.opensAt(TARGET, at).orElseThrow().isAfter(at));
+    } else if (!at.isBefore(NOW.plus(observed).plusMillis(400))) {
+      assertTrue(table.isAccepting(TARGET, 0, at));
+    }
+  }
+
+  @Test
+  void should_keep_the_longest_of_several_pauses() {
+    availability.recordNotice(TARGET, TargetNotice.of(false, seconds(10)), NOW);
+    availability.recordNotice(TARGET, TargetNotice.of(false, seconds(1)), NOW.plusSeconds(1));
+
+    assertTrue(availability.isClosed(TARGET, NOW.plusSeconds(9)));
+  }
+
+  @Test
+  void should_send_one_request_at_a_time_right_after_a_pause() {
+    availability.recordNotice(TARGET, TargetNotice.of(false, seconds(2)), NOW);
+    Instant opened = availability.opensAt(TARGET, NOW).orElseThrow();
+
+    assertTrue(availability.isAccepting(TARGET, 0, opened));
+    assertFalse(availability.isAccepting(TARGET, 1, opened));
+    assertTrue(availability.isAccepting(TARGET, 1, opened.plusSeconds(1)));
+  }
+
+  @Test
+  void should_not_let_all_instances_return_at_the_same_time() {
+    TargetAvailability other = TargetAvailability.forInstance("entry-2");
+    TargetNotice pause = TargetNotice.of(false, seconds(2));
+
+    availability.recordNotice(TARGET, pause, NOW);
+    other.recordNotice(TARGET, pause, NOW);
+
+    assertNotEquals(availability.opensAt(TARGET, NOW), other.opensAt(TARGET, NOW));
+  }
+
+  @Test
+  void should_take_a_pause_that_is_not_positive_as_none() {
+    assertTrue(TargetNotice.of(false, Optional.of(Duration.ZERO)).isEmpty());
+    assertTrue(TargetNotice.of(false, Optional.of(Duration.ofSeconds(-1))).isEmpty());
+  }
+
+  private static RelayTarget laterProcess() {
+    return new RelayTarget(
+        TARGET.id(), TARGET.incarnation() + 1, TARGET.address(), TARGET.dataCentre(), 1, 1);
+  }
+
+  private static Optional<Duration> seconds(int seconds) {
+    return Optional.of(Duration.ofSeconds(seconds));
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -27,6 +27,9 @@
 
   private final Counter quarantinedRequests = registry.counter("quarantined_requests_total");
 
+  private final Counter targetsLeaving = registry.counter("targets_closed_total.leaving");
+  private final Counter targetsPaused = registry.counter("targets_closed_total.paused");
+
   private DaemonMetrics() {}
 
   public static DaemonMetrics create() {
@@ -69,6 +72,15 @@
     quarantinedRequests.inc();
   }
 
+  /**
+   * Records that a target stated in a response that it wants no further requests.
+   *
+   * @param isLeaving whether it is leaving, as opposed to asking for a pause
+   */
+  public void targetClosed(boolean isLeaving) {
+    (isLeaving ? targetsLeaving : targetsPaused).inc();
+  }
+
   public void retried() {
     retries.inc();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -84,7 +84,7 @@
   private final FleetViewHolder holder = FleetViewHolder.create();
   private final TargetRegistrations registrations = TargetRegistrations.create(TARGET_LEASE);
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
-  private final RelayLoadTable load = RelayLoadTable.create();
+  private final RelayLoadTable load;
   private final LoggedQuarantine quarantine;
   private final FleetMembership membership;
   private Optional<ControlInstance> instance = Optional.empty();
@@ -96,6 +96,7 @@
     this.log = log;
     this.clock = clock;
     this.quarantine = LoggedQuarantine.create(log);
+    this.load = RelayLoadTable.forInstance(settings.peer());
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
     this.network =
         PeerNetwork.create(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -9,10 +9,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.geraniumwharf.relay.TargetNotice;
 
 /**
  * HTTP client for small requests to targets and stores, which buffers each response completely. Its
@@ -24,16 +28,21 @@
 
   private final EventLoop loop;
   private final TargetConnectionPool pool;
+  private final InstantSource clock;
 
-  private BufferingHttpClient(EventLoop loop, TargetConnectionPool pool) {
+  /** Times before which servers want no further requests, by address. */
+  private final Map<InetSocketAddress, Instant> pausedUntil = new HashMap<>();
+
+  private BufferingHttpClient(EventLoop loop, TargetConnectionPool pool, InstantSource clock) {
     this.loop = loop;
     this.pool = pool;
+    this.clock = clock;
   }
 
   /** Creates a client with its own connection pool. */
   public static BufferingHttpClient create(
       EventLoop loop, RelayProtocol protocol, InstantSource clock) {
-    return new BufferingHttpClient(loop, new TargetConnectionPool(loop, protocol, clock));
+    return new BufferingHttpClient(loop, new TargetConnectionPool(loop, protocol, clock), clock);
   }
 
   /**
@@ -46,8 +55,9 @@
 
   /**
    * Sends a request and takes ownership of it. The future completes on the event loop, with an
-   * exception if the connection fails, the response is too large or the timeout expires. The
-   * timeout starts when a connection has been acquired.
+   * exception if the connection fails, the response is too large, the timeout expires or an earlier
+   * response asked for a pause that has not ended. The timeout starts when a connection has been
+   * acquired.
    */
   public CompletableFuture<Response> send(
       InetSocketAddress address, FullHttpRequest request, Duration timeout) {
@@ -61,6 +71,11 @@
       FullHttpRequest request,
       Duration timeout,
       CompletableFuture<Response> response) {
+    if (isPaused(address)) {
+      request.release();
+      response.completeExceptionally(new IOException("the server wants no requests yet"));
+      return;
+    }
     pool.acquire(
         address,
         connection -> sendOver(address, connection, request, timeout, response),
@@ -70,6 +85,16 @@
         });
   }
 
+  private boolean isPaused(InetSocketAddress address) {
+    return clock.instant().isBefore(pausedUntil.getOrDefault(address, Instant.MIN));
+  }
+
+  private void recordPause(InetSocketAddress address, Duration pause) {
+    Instant now = clock.instant();
+    pausedUntil.values().removeIf(end -> !now.isBefore(end));
+    pausedUntil.put(address, now.plus(pause));
+  }
+
   private void sendOver(
       InetSocketAddress address,
       TargetConnection connection,
@@ -98,6 +123,11 @@
       this.response = response;
     }
 
+    @Override
+    public void onNotice(TargetNotice notice) {
+      notice.pause().ifPresent(pause -> recordPause(address, pause));
+    }
+
     @Override
     public void onHead(HttpResponse head, TargetResponse ignored) {
       status = head.status().code();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,7 @@
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.RetryAfter;
+import org.geraniumwharf.relay.TargetNotice;
 
 /**
  * One request of a caller, from the time it is completely received to the end of its response.
@@ -151,16 +153,22 @@
 
   private void enqueue(RelayQueue<RelayExchange> queue, Instant now) {
     Duration remaining = Duration.between(now, request.deadline());
-    boolean isAnyUntried =
+    List<RelayTarget> untried =
         relay.admission().routing().targetsOf(request.service().name()).stream()
-            .anyMatch(target -> !triedTargets.contains(target.id()));
-    if (!isAnyUntried) {
+            .filter(target -> !triedTargets.contains(target.id()))
+            .toList();
+    Optional<Instant> opensAt = relay.load().opensAt(untried, now);
+    if (opensAt.isEmpty()) {
       reject(
           ServingErrors.noTarget(request.route().name())
               .withRetryAfter(
                   RetryAfter.jitteredDelay(parsedRequest.id(), NO_TARGET_RETRY_AFTER, remaining)));
       return;
     }
+    if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request.deadline(), now)))) {
+      rejectOverloaded(Duration.between(now, opensAt.get()), remaining);
+      return;
+    }
     RelayQueue.Admission<RelayExchange> admission =
         queue.offer(this, request.priority(), request.footprint(), request.deadline(), now);
     queueEntry = admission.entry();
@@ -240,6 +248,11 @@
       deadlineExceeded();
       return;
     }
+    if (relay.load().isClosed(next.target(), now)) {
+      caller.targetPool().release(addressOf(next), connection);
+      closedWhileConnecting(next);
+      return;
+    }
     sendCount++;
     sentAt = Optional.of(now);
     next.connected(connection);
@@ -267,6 +280,14 @@
         next);
   }
 
+  /** Places a request again whose target asked for no more while the connection was opened. */
+  private void closedWhileConnecting(TargetCall unsent) {
+    triedTargets.remove(unsent.target().id());
+    if (endCall(unsent)) {
+      dispatch();
+    }
+  }
+
   private static InetSocketAddress addressOf(TargetCall endedCall) {
     return ControlDirectory.parseAddress(endedCall.target().address());
   }
@@ -307,6 +328,11 @@
     return !isDone;
   }
 
+  /** Handles what a target states in the head of a response about further requests. */
+  void noticeReceived(RelayTarget target, TargetNotice notice) {
+    relay.recordNotice(target, notice, parsedRequest.id());
+  }
+
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay.load().recordSuccess(endedCall.target().id());
     relay.recordSound(request);
@@ -338,7 +364,9 @@
 
   /** Handles a response in which the target states that it did not execute the request. */
   void notExecuted(TargetCall endedCall, int status) {
-    relay.load().recordRejection(endedCall.target().id(), relay.now());
+    if (!endedCall.isTurnedAway()) {
+      relay.load().recordRejection(endedCall.target().id(), relay.now());
+    }
     if (!endCall(endedCall)) {
       return;
     }
@@ -351,11 +379,17 @@
 
   /** Handles a closed connection or an invalid response; the request may have been executed. */
   void callFailed(TargetCall endedCall, String cause) {
-    relay.load().recordFailure(endedCall.target().id(), relay.now());
+    if (!endedCall.isTurnedAway()) {
+      relay.load().recordFailure(endedCall.target().id(), relay.now());
+    }
     mayHaveExecuted = true;
     if (!endCall(endedCall)) {
       return;
     }
+    if (endedCall.isTurnedAway()) {
+      retryOrFail(endedCall, cause, true);
+      return;
+    }
     relay
         .crashWatch(caller.targetPool(), loop)
         .callFailed(request, endedCall, mayRetry -> retryOrFail(endedCall, cause, mayRetry));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -23,6 +25,7 @@
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.StoredParts;
+import org.geraniumwharf.relay.TargetNotice;
 import org.geraniumwharf.relay.TransferPlanner;
 import org.geraniumwharf.retry.RetryBudget;
 import org.geraniumwharf.schema.objects.CacheStore;
@@ -98,7 +101,7 @@
             admission, protocol, rules, load, quarantine, liveInstances, metrics, log, clock);
     holder.onChange(
         (before, after) -> {
-          relay.load.retainTargets(admission.routing().targetIds());
+          relay.load.retainTargets(admission.routing().targetIds(), relay.now());
           relay.queues.keySet().forEach(relay::wakeQueued);
         });
     return relay;
@@ -142,6 +145,25 @@
     }
   }
 
+  /**
+   * Records what a target states in a response about further requests.
+   *
+   * @param requestId request that the response answers
+   */
+  void recordNotice(RelayTarget target, TargetNotice notice, String requestId) {
+    if (!load.recordNotice(target, notice, now())) {
+      return;
+    }
+    metrics.targetClosed(notice.isLeaving());
+    log.info(
+        Event.of(notice.isLeaving() ? "target-leaving" : "target-paused")
+            .with("target", target.id())
+            .with("incarnation", target.incarnation())
+            .with("request", requestId)
+            .with("pauseMillis", notice.pause().map(Duration::toMillis).orElse(0L))
+            .with("view", admission.routing().view().index()));
+  }
+
   DaemonMetrics metrics() {
     return metrics;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -69,6 +69,7 @@
     RelayTarget target =
         new RelayTarget(
             announcement.id(),
+            announcement.incarnation(),
             AnnouncedAddress.hostAndPort(announcement),
             announcement.dataCentre(),
             announcement.slots(),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayTarget;
+import org.geraniumwharf.relay.TargetNotice;
 
 /**
  * A request to one target. Buffers the response, or decodes it to events if it is streamed, and
@@ -29,6 +30,7 @@
   private Optional<HttpResponse> head = Optional.empty();
   private TargetResponse.Verdict verdict = TargetResponse.Verdict.UNTRUSTED;
   private int eventCount;
+  private boolean isTurnedAway;
   private boolean isEnded;
 
   TargetCall(RelayExchange exchange, RelayTarget target, RelayLoadTable.InFlightRequest run) {
@@ -59,6 +61,11 @@
     return eventCount;
   }
 
+  /** Returns whether the target asked for a pause, which is no failure of it. */
+  boolean isTurnedAway() {
+    return isTurnedAway;
+  }
+
   boolean isEnded() {
     return isEnded;
   }
@@ -74,6 +81,12 @@
     connection.ifPresent(open -> open.setReading(isReading));
   }
 
+  @Override
+  public void onNotice(TargetNotice notice) {
+    isTurnedAway |= notice.pause().isPresent();
+    exchange.noticeReceived(target, notice);
+  }
+
   @Override
   public void onHead(HttpResponse newHead, TargetResponse response) {
     head = Optional.of(newHead);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.geraniumwharf.relay.TargetNotice;
 
 /**
  * A connection to a target that carries one request at a time. A response to another request than
@@ -67,6 +68,12 @@
    */
   interface ResponseListener {
 
+    /**
+     * Called with the notice of each response, including one that answers an earlier request and is
+     * discarded.
+     */
+    void onNotice(TargetNotice notice);
+
     void onHead(HttpResponse head, TargetResponse response);
 
     void onContent(ByteBuf bytes);
@@ -187,6 +194,7 @@
       return;
     }
     TargetResponse response = protocol.readResponse(head);
+    listener.get().onNotice(response.notice());
     isDiscarding = response.requestId().filter(id -> !id.equals(requestId)).isPresent();
     if (isDiscarding) {
       isReusable = false;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponse.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponse.java
@@ -1,14 +1,16 @@
 package org.geraniumwharf.internal.relay;
 
 import java.util.Optional;
+import org.geraniumwharf.relay.TargetNotice;
 
 /**
  * Contents of the head of a target's response.
  *
  * @param requestId id of the request that the response belongs to, if the head has one
  * @param verdict result of the request at the target
+ * @param notice what the target states about further requests
  */
-public record TargetResponse(Optional<String> requestId, Verdict verdict) {
+public record TargetResponse(Optional<String> requestId, Verdict verdict, TargetNotice notice) {
 
   /** Result of a request at a target. */
   public enum Verdict {
