Read each cache store at control instances and hand its changes on with heartbeats

Every entry polled every store. Control instances, 5 at these sites, now read the stores; the leader answers each heartbeat with the changes since the entry's position (StoreChangeLog). Positions are those of the store, so a new leader goes on where the last one stopped; an entry that is too far behind gets all parts. An entry uses what it knows for 6 s without an answer.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
@@ -42,6 +42,9 @@
    */
   boolean isJoined();
 
+  /** Hands on the contents of cache stores with the answers to heartbeats from now on. */
+  void readStores(StoreReader reader);
+
   /** Returns this instance's leadership as of {@code now}; empty while it does not lead. */
   Optional<Leadership> leadership(Instant now);
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -14,6 +14,7 @@
 import org.geraniumwharf.configuration.ConfigurationDifference;
 import org.geraniumwharf.configuration.ConfigurationFault;
 import org.geraniumwharf.control.ControlOptions;
+import org.geraniumwharf.control.StoreReader;
 import org.geraniumwharf.error.ErrorKind;
 import org.geraniumwharf.internal.raft.RaftCore;
 import org.geraniumwharf.internal.raft.Role;
@@ -72,6 +73,7 @@
   private final LeaderDuties duties;
   private final PlacementDuty placement;
   private final ReplicaStorage storage;
+  private final StoreReader stores;
   private final BiConsumer<Command, CompletableFuture<ControlAnswer>> propose;
   private final Consumer<CompletableFuture<ControlAnswer>> read;
 
@@ -82,6 +84,7 @@
       LeaderDuties duties,
       PlacementDuty placement,
       ReplicaStorage storage,
+      StoreReader stores,
       BiConsumer<Command, CompletableFuture<ControlAnswer>> propose,
       Consumer<CompletableFuture<ControlAnswer>> read) {
     this.options = options;
@@ -90,6 +93,7 @@
     this.duties = duties;
     this.placement = placement;
     this.storage = storage;
+    this.stores = stores;
     this.propose = propose;
     this.read = read;
   }
@@ -149,7 +153,8 @@
             duties.updateLimitShares(heartbeat, now),
             duties.remoteLoad(heartbeat.daemon().name(), now),
             duties.suspectedParts(),
-            duties.quarantinedParts()));
+            duties.quarantinedParts(),
+            stores.changesSince(heartbeat.storePositions())));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -20,6 +20,7 @@
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.control.Leadership;
 import org.geraniumwharf.control.RaftSender;
+import org.geraniumwharf.control.StoreReader;
 import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.internal.raft.ConfirmedRead;
 import org.geraniumwharf.internal.raft.OutgoingMessage;
@@ -73,6 +74,7 @@
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
   private final Thread thread;
 
+  private volatile StoreReader storeReader = StoreReader.none();
   private volatile boolean isInitialised;
   private volatile boolean isJoined;
   private volatile Optional<Leadership> leadership = Optional.empty();
@@ -104,7 +106,15 @@
     this.viewStream = new ViewStream(state::view, this::memberNames);
     this.callHandler =
         new CallHandler(
-            options, core, state, duties, placement, storage, this::propose, this::read);
+            options,
+            core,
+            state,
+            duties,
+            placement,
+            storage,
+            positions -> storeReader.changesSince(positions),
+            this::propose,
+            this::read);
     this.thread = new Thread(this::run, "replica-" + options.name());
   }
 
@@ -173,6 +183,11 @@
     submit(() -> viewStream.addWatcher(afterIndex, sink, viewAgeMillis(clock.instant())));
   }
 
+  @Override
+  public void readStores(StoreReader reader) {
+    storeReader = reader;
+  }
+
   @Override
   public boolean isJoined() {
     return isJoined;
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -164,6 +164,7 @@
             List.of(),
             crashes,
             soundParts,
+            List.of(),
             List.of());
     return assertInstanceOf(HeartbeatAnswer.class, runner.call(call).get(30, SECONDS));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -18,6 +18,7 @@
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.OrderDelivery;
+import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.logging.EventHistory;
@@ -176,6 +177,7 @@
         work,
         WorkExchange.none(),
         CrashExchange.none(),
+        StoreExchange.none(),
         log,
         clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -36,6 +36,7 @@
    * @param work work in flight, told to the leader
    * @param exchange relayed work, told to the other daemons
    * @param crashes crash evidence, shared with the other daemons
+   * @param stores contents of cache stores, which control instances hand on
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
@@ -51,6 +52,7 @@
       DeploymentWork work,
       WorkExchange exchange,
       CrashExchange crashes,
+      StoreExchange stores,
       EventLog log,
       InstantSource clock) {
     ControlReachability reachability = new ControlReachability(directory.names().size());
@@ -70,6 +72,7 @@
             work,
             exchange,
             crashes,
+            stores,
             log,
             clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -36,6 +36,7 @@
   private final DeploymentWork work;
   private final WorkExchange exchange;
   private final CrashExchange crashes;
+  private final StoreExchange stores;
   private final EventLog log;
   private final InstantSource clock;
   private final Semaphore changes = new Semaphore(0);
@@ -51,6 +52,7 @@
       DeploymentWork work,
       WorkExchange exchange,
       CrashExchange crashes,
+      StoreExchange stores,
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
@@ -63,6 +65,7 @@
     this.work = work;
     this.exchange = exchange;
     this.crashes = crashes;
+    this.stores = stores;
     this.log = log;
     this.clock = clock;
   }
@@ -124,7 +127,8 @@
                   relayed,
                   crashReport.crashes(),
                   crashReport.soundParts(),
-                  crashReport.quarantinedParts()),
+                  crashReport.quarantinedParts(),
+                  stores.positions()),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
@@ -134,6 +138,7 @@
           new PartQuarantine.LeaderLists(
               answer.term(), answer.suspectedParts(), answer.quarantinedParts()),
           clock.instant());
+      stores.received(answer.storeChanges(), clock.instant());
       if (answer.entryInstances() > 0) {
         limiter.applyShares(answer.entryInstances(), answer.shares(), clock.instant());
       }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.node;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -28,13 +29,16 @@
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.http.ApiServer;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
+import org.geraniumwharf.internal.relay.KnownStores;
 import org.geraniumwharf.internal.relay.LoggedQuarantine;
 import org.geraniumwharf.internal.relay.Relay;
+import org.geraniumwharf.internal.relay.StoreEventPollers;
 import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
@@ -44,6 +48,7 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayLoadTable;
+import org.geraniumwharf.relay.StoreChangeLog;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.PeerMessage;
 import org.geraniumwharf.schema.messages.TargetWork;
@@ -86,6 +91,7 @@
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
   private final RelayLoadTable load;
   private final LoggedQuarantine quarantine;
+  private final KnownStores stores;
   private final FleetMembership membership;
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
@@ -96,6 +102,7 @@
     this.log = log;
     this.clock = clock;
     this.quarantine = LoggedQuarantine.create(log);
+    this.stores = KnownStores.create(log);
     this.load = RelayLoadTable.forInstance(settings.peer());
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
     this.network =
@@ -121,6 +128,7 @@
             DeploymentWork.create(),
             settings.isEntry() ? workExchange() : WorkExchange.none(),
             settings.isEntry() ? quarantine : CrashExchange.none(),
+            settings.isEntry() ? stores : StoreExchange.none(),
             log,
             clock);
   }
@@ -208,9 +216,23 @@
     ControlService service =
         new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
     DaemonThreads.start(weightsRollout(started, service), "weights-rollout");
+    readStores(started);
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
   }
 
+  private void readStores(ControlInstance started) {
+    EventLoop loop = loops.next();
+    StoreChangeLog changes = StoreChangeLog.create();
+    StoreEventPollers.start(
+        holder,
+        edges.cache(),
+        BufferingHttpClient.create(loop, edges.relay(), clock),
+        loop,
+        changes,
+        log);
+    started.readStores(changes::changesSince);
+  }
+
   private WeightsRollout weightsRollout(ControlInstance started, ControlService service) {
     EngineOrders orders =
         new EngineOrders(
@@ -242,7 +264,7 @@
             holder,
             membership.readiness(),
             edges.relay(),
-            edges.cache(),
+            stores,
             rules,
             load,
             quarantine,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -1,6 +1,5 @@
 package org.geraniumwharf.internal.relay;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Instant;
@@ -31,8 +30,9 @@
   public record Rules(String dataCentre, double retryShare, double retryReserve) {}
 
   /**
-   * Starts to accept connections of callers and to poll the cache stores.
+   * Starts to accept connections of callers.
    *
+   * @param stores contents of the cache stores
    * @param load load of the targets, which the instances report to each other
    * @param quarantine prompt parts that are refused
    * @param liveInstances number of live entry instances, including this one
@@ -42,7 +42,7 @@
       FleetViewHolder holder,
       Readiness readiness,
       RelayProtocol protocol,
-      CacheProtocol cache,
+      KnownStores stores,
       Rules rules,
       RelayLoadTable load,
       LoggedQuarantine quarantine,
@@ -58,6 +58,7 @@
             holder,
             readiness,
             protocol,
+            stores,
             rules,
             load,
             quarantine,
@@ -67,8 +68,6 @@
             clock);
     RelayServer server = new RelayServer(relay, loops);
     server.start(address);
-    EventLoop loop = loops.next();
-    relay.pollStores(cache, BufferingHttpClient.create(loop, protocol, clock), loop, holder);
     return new Relay(server);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,7 +24,6 @@
 import org.geraniumwharf.relay.RelayQueue;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
-import org.geraniumwharf.relay.StoredParts;
 import org.geraniumwharf.relay.TargetNotice;
 import org.geraniumwharf.relay.TransferPlanner;
 import org.geraniumwharf.retry.RetryBudget;
@@ -51,15 +50,15 @@
   private final InstantSource clock;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
-  private final StoredParts storedParts = StoredParts.create();
-  private final TransferPlanner transferPlanner = TransferPlanner.of(storedParts);
-  private volatile Optional<StoreEventPollers> storePollers = Optional.empty();
+  private final KnownStores stores;
+  private final TransferPlanner transferPlanner;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<TargetConnectionPool, CrashWatch> crashWatches = new ConcurrentHashMap<>();
 
   private RelayState(
       RelayAdmission admission,
       RelayProtocol protocol,
+      KnownStores stores,
       Relay.Rules rules,
       RelayLoadTable load,
       LoggedQuarantine quarantine,
@@ -67,6 +66,8 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
+    this.stores = stores;
+    this.transferPlanner = TransferPlanner.of(stores.storedParts());
     this.load = load;
     this.quarantine = quarantine;
     this.admission = admission;
@@ -88,6 +89,7 @@
       FleetViewHolder holder,
       Readiness readiness,
       RelayProtocol protocol,
+      KnownStores stores,
       Relay.Rules rules,
       RelayLoadTable load,
       LoggedQuarantine quarantine,
@@ -98,7 +100,16 @@
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     RelayState relay =
         new RelayState(
-            admission, protocol, rules, load, quarantine, liveInstances, metrics, log, clock);
+            admission,
+            protocol,
+            stores,
+            rules,
+            load,
+            quarantine,
+            liveInstances,
+            metrics,
+            log,
+            clock);
     holder.onChange(
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
@@ -238,21 +249,10 @@
   }
 
   private List<CacheStore> availableStores() {
-    return storePollers.map(StoreEventPollers::availableStores).orElse(List.of());
-  }
-
-  /** Starts to poll the cache stores of the current and each later configuration. */
-  void pollStores(
-      CacheProtocol cache, BufferingHttpClient client, EventLoop loop, FleetViewHolder holder) {
-    StoreEventPollers pollers = new StoreEventPollers(storedParts, cache, client, loop, log);
-    storePollers = Optional.of(pollers);
-    pollers.updateStores(holder.current().configuration());
-    holder.onChange(
-        (before, after) -> {
-          if (before.configuration() != after.configuration()) {
-            pollers.updateStores(after.configuration());
-          }
-        });
+    Instant now = now();
+    return admission.routing().stores().stream()
+        .filter(store -> stores.isAvailable(store.name(), now))
+        .toList();
   }
 
   /** Plans which parts a target fetches from and saves to cache stores for a request. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -12,6 +12,7 @@
 import org.geraniumwharf.internal.fleet.NumericAddress;
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.RelayTarget;
+import org.geraniumwharf.schema.objects.CacheStore;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.targets.Announcement;
 import org.geraniumwharf.weights.WeightsVersion;
@@ -21,13 +22,15 @@
 
   private final FleetSnapshot view;
   private final RelayTable table;
+  private final List<CacheStore> stores;
   private final Map<String, List<RelayTarget>> targetsByService = new HashMap<>();
   private final Set<String> targetIds = new HashSet<>();
   private final Set<String> unusableIds = new HashSet<>();
 
-  private RoutingSnapshot(FleetSnapshot view, RelayTable table) {
+  private RoutingSnapshot(FleetSnapshot view, RelayTable table, List<CacheStore> stores) {
     this.view = view;
     this.table = table;
+    this.stores = stores;
     Map<String, Announcement> newestAtAddress = new HashMap<>();
     for (TargetRecord record : view.targets()) {
       if (!record.lapsed()) {
@@ -40,14 +43,16 @@
         .forEach(this::add);
   }
 
-  /** Derives a snapshot from a view; reuses the table of the previous one if it is still valid. */
+  /** Derives a snapshot from a view; reuses what the previous one derived from the same objects. */
   static RoutingSnapshot of(FleetSnapshot view, Optional<RoutingSnapshot> previous) {
-    RelayTable table =
-        previous
-            .map(RoutingSnapshot::table)
-            .filter(reusable -> reusable.isBuiltFrom(view.configuration()))
-            .orElseGet(() -> RelayTable.of(view.configuration()));
-    return new RoutingSnapshot(view, table);
+    Optional<RoutingSnapshot> reusable =
+        previous.filter(earlier -> earlier.table.isBuiltFrom(view.configuration()));
+    return new RoutingSnapshot(
+        view,
+        reusable.map(RoutingSnapshot::table).orElseGet(() -> RelayTable.of(view.configuration())),
+        reusable
+            .map(RoutingSnapshot::stores)
+            .orElseGet(() -> ManagedStores.of(view.configuration()).usable()));
   }
 
   /**
@@ -100,6 +105,11 @@
     return table;
   }
 
+  /** Returns the managed cache stores. */
+  List<CacheStore> stores() {
+    return stores;
+  }
+
   List<RelayTarget> targetsOf(String service) {
     return targetsByService.getOrDefault(service, List.of());
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
@@ -3,12 +3,14 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
-import org.geraniumwharf.relay.StoredParts;
+import org.geraniumwharf.relay.StoreChangeLog;
+import org.geraniumwharf.schema.messages.StoreChange;
 import org.geraniumwharf.schema.objects.CacheStore;
 
 /**
@@ -27,7 +29,7 @@
 
   private final CacheStore store;
   private final InetSocketAddress address;
-  private final StoredParts storedParts;
+  private final StoreChangeLog changeLog;
   private final CacheProtocol protocol;
   private final BufferingHttpClient client;
   private final EventLoop loop;
@@ -35,18 +37,18 @@
   private Optional<Long> incarnation = Optional.empty();
   private long position;
   private boolean isStopped;
-  private volatile boolean isAvailable;
+  private boolean isAvailable;
 
   StoreEventPoller(
       CacheStore store,
-      StoredParts storedParts,
+      StoreChangeLog changeLog,
       CacheProtocol protocol,
       BufferingHttpClient client,
       EventLoop loop,
       EventLog log) {
     this.store = store;
     this.address = ControlDirectory.parseAddress(store.address());
-    this.storedParts = storedParts;
+    this.changeLog = changeLog;
     this.protocol = protocol;
     this.client = client;
     this.loop = loop;
@@ -61,18 +63,9 @@
     loop.execute(() -> isStopped = true);
   }
 
-  CacheStore store() {
-    return store;
-  }
-
-  /** Returns whether the last poll succeeded. */
-  boolean isAvailable() {
-    return isAvailable;
-  }
-
   private void poll() {
     if (isStopped) {
-      storedParts.removeStore(store.name());
+      changeLog.removeStore(store.name());
       return;
     }
     var unused =
@@ -103,7 +96,6 @@
   private void apply(CacheProtocol.Changes changes) {
     boolean isNewIncarnation = !incarnation.equals(Optional.of(changes.incarnation()));
     if (isNewIncarnation) {
-      storedParts.removeStore(store.name());
       log.info(
           Event.of("store-followed")
               .with("store", store.name())
@@ -112,18 +104,17 @@
     boolean isOldPosition = isNewIncarnation && incarnation.isPresent() && position > 0;
     incarnation = Optional.of(changes.incarnation());
     position = isOldPosition ? 0 : changes.nextPosition();
-    if (!isOldPosition) {
-      changes.changes().forEach(this::apply);
-    }
+    List<StoreChange> messages =
+        isOldPosition
+            ? List.of()
+            : changes.changes().stream().map(StoreEventPoller::toMessage).toList();
+    changeLog.record(store.name(), changes.incarnation(), position, messages);
     isAvailable = true;
   }
 
-  private void apply(CacheProtocol.Change change) {
-    if (change.isAdded()) {
-      storedParts.add(store.name(), change.scope(), change.partId(), change.tokens());
-    } else {
-      storedParts.remove(store.name(), change.scope(), change.partId());
-    }
+  private static StoreChange toMessage(CacheProtocol.Change change) {
+    int tokens = change.isAdded() ? change.tokens() : StoreChangeLog.REMOVED;
+    return StoreChange.of(change.scope(), change.partId(), tokens);
   }
 
   private void pollFailed(String cause) {
@@ -131,5 +122,6 @@
       log.warn(Event.of("store-lost").with("store", store.name()).with("cause", cause));
     }
     isAvailable = false;
+    changeLog.recordUnavailable(store.name());
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
@@ -59,6 +59,7 @@
         DeploymentWork.create(),
         new FailingExchange(),
         CrashExchange.none(),
+        StoreExchange.none(),
         EventLog.none(),
         clock);
   }
