Fetch from a store by what fetches take now, and estimate by learnt rates

No target tells how long a fetch took. FetchTimes takes the difference between the delays of first tokens with and without a fetch from a store, so that a slow engine isn't taken for a slow store; TransferPlanner leaves out a store while a fetch takes longer than computing, but for trials.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -23,12 +23,6 @@
  */
 public final class RelayPlacement {
 
-  /** Prefill rate of an engine as its operators state it. */
-  private static final double PREFILL_TOKENS_PER_MILLI = 140;
-
-  /** Rate at which an engine fetches kept cache over a link of the stated bandwidth. */
-  private static final double FETCH_TOKENS_PER_MILLI = 240;
-
   /** Time to the first token besides the prefill of the prompt. */
   private static final double FIRST_TOKEN_OVERHEAD_MILLIS = 10;
 
@@ -95,6 +89,7 @@
    * Returns the cheapest target that accepts requests, has free capacity and is not ejected.
    *
    * @param storedTokens tokens at the start of the prompt that cache stores hold
+   * @param rates rates of the engines; unused for a request that is no generation
    * @param excluded targets that this request was already sent to
    * @param instances number of live entry instances, including this one
    */
@@ -103,12 +98,14 @@
       List<RelayTarget> targets,
       RelayLoadTable table,
       int storedTokens,
+      EngineRates rates,
       Set<String> excluded,
       int instances,
       Instant now) {
     String preferred = preferredTarget(resolved, targets);
     List<Choice> open =
-        openChoices(resolved, targets, preferred, table, storedTokens, excluded, instances, now)
+        openChoices(
+                resolved, targets, preferred, table, storedTokens, rates, excluded, instances, now)
             .filter(choice -> !choice.load().isEjected())
             .toList();
     return comparedChoices(resolved, open, preferred, instances)
@@ -119,16 +116,19 @@
    * Returns the cheapest target that accepts requests and has free capacity, including ejected
    * ones. Meant for a request whose response has started: it can neither be queued nor rejected and
    * would otherwise be lost.
+   *
+   * @param rates rates of the engines; unused for a request that is no generation
    */
   public Optional<Choice> chooseIncludingEjected(
       ResolvedRequest resolved,
       List<RelayTarget> targets,
       RelayLoadTable table,
+      EngineRates rates,
       Set<String> excluded,
       int instances,
       Instant now) {
     String preferred = preferredTarget(resolved, targets);
-    return openChoices(resolved, targets, preferred, table, 0, excluded, instances, now)
+    return openChoices(resolved, targets, preferred, table, 0, rates, excluded, instances, now)
         .min(Comparator.comparingDouble(Choice::costMillis));
   }
 
@@ -139,6 +139,7 @@
       String preferred,
       RelayLoadTable table,
       int storedTokens,
+      EngineRates rates,
       Set<String> excluded,
       int instances,
       Instant now) {
@@ -146,7 +147,8 @@
     for (RelayTarget target : targets) {
       RelayLoadTable.Load load = table.load(target, resolved, now);
       if (!excluded.contains(target.id()) && load.isAccepting()) {
-        evaluate(resolved, target, preferred, load, storedTokens, instances).ifPresent(open::add);
+        evaluate(resolved, target, preferred, load, storedTokens, rates, instances)
+            .ifPresent(open::add);
       }
     }
     return open.stream();
@@ -188,6 +190,7 @@
       String preferred,
       RelayLoadTable.Load load,
       int storedTokens,
+      EngineRates rates,
       int instances) {
     if (!TargetCapacity.hasFreeCapacity(resolved, target, load, instances)) {
       return Optional.empty();
@@ -196,7 +199,7 @@
         target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_ROUND_TRIP_MILLIS;
     double firstTokenMillis =
         resolved.isGeneration()
-            ? firstTokenMillis(resolved, target, preferred, load, storedTokens)
+            ? firstTokenMillis(resolved, target, preferred, load, storedTokens, rates)
             : 0;
     double loadMillis =
         resolved.isGeneration()
@@ -230,7 +233,8 @@
       RelayTarget target,
       String preferred,
       RelayLoadTable.Load load,
-      int storedTokens) {
+      int storedTokens,
+      EngineRates rates) {
     double fetched = Math.max(0, storedTokens - load.cachedTokens());
     double missing = resolved.request().promptTokens() - load.cachedTokens() - fetched;
     if (target.id().equals(preferred)) {
@@ -238,9 +242,7 @@
       int available = Math.max(storedTokens, load.cachedTokens());
       missing -= PREFERRED_TARGET_CACHED_SHARE * Math.max(0, shared - available);
     }
-    return FIRST_TOKEN_OVERHEAD_MILLIS
-        + missing / PREFILL_TOKENS_PER_MILLI
-        + fetched / FETCH_TOKENS_PER_MILLI;
+    return FIRST_TOKEN_OVERHEAD_MILLIS + rates.computeMillis(missing) + rates.fetchMillis(fetched);
   }
 
   /** Estimates the delay by the other requests at an engine, ms. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -5,18 +5,21 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumwharf.internal.routing.RendezvousHash;
 import org.geraniumwharf.schema.objects.CacheStore;
+import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
  * Decides which parts of a prompt a target fetches from cache stores and which it saves there.
  * Parts that other requests share are saved once, to a store with free capacity that weighted
- * rendezvous hashing selects; a part is fetched only from a store that reported it as complete.
- * Parts are never freed at a store, so none can disappear during a fetch. Safe for use by several
- * threads; the only other lock taken while its lock is held is that of the stored parts.
+ * rendezvous hashing selects; a part is fetched only from a store that reported it as complete. A
+ * store from which fetches currently take longer than computing the parts is left out. Parts are
+ * never freed at a store, so none can disappear during a fetch. Safe for use by several threads;
+ * the only other lock taken while its lock is held is that of the stored parts.
  */
 public final class TransferPlanner {
 
@@ -32,14 +35,16 @@
   private static final int MAX_TRACKED_SAVES = 20_000;
 
   private final StoredParts stored;
+  private final FetchTimes fetchTimes;
   private final Map<String, Instant> savePlannedAt = new HashMap<>();
 
-  private TransferPlanner(StoredParts stored) {
+  private TransferPlanner(StoredParts stored, FetchTimes fetchTimes) {
     this.stored = stored;
+    this.fetchTimes = fetchTimes;
   }
 
-  public static TransferPlanner of(StoredParts stored) {
-    return new TransferPlanner(stored);
+  public static TransferPlanner of(StoredParts stored, FetchTimes fetchTimes) {
+    return new TransferPlanner(stored, fetchTimes);
   }
 
   /**
@@ -47,36 +52,83 @@
    *
    * @param stores available stores
    * @param scope cache scope of the request at the target
+   * @param rates rates of the engines of the service
    */
   public synchronized CacheTransfers plan(
-      ResolvedRequest resolved, List<CacheStore> stores, String scope, Instant now) {
+      ResolvedRequest resolved,
+      List<CacheStore> stores,
+      String scope,
+      EngineRates rates,
+      Instant now) {
     if (!resolved.isGeneration() || stores.isEmpty()) {
       return CacheTransfers.none();
     }
+    List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
+    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
+    tokens
+        .entrySet()
+        .removeIf(
+            held ->
+                !isWorthFetching(resolved, held.getKey(), held.getValue(), rates)
+                    && !fetchTimes.tryStore(held.getKey().name(), now));
     List<Optional<String>> fetch = new ArrayList<>();
     List<Optional<String>> save = new ArrayList<>();
     for (PromptPart part : resolved.request().prompt()) {
-      Optional<CacheStore> holder = findHolder(stores, scope, part);
+      Optional<CacheStore> holder = holders.get(fetch.size());
       boolean isShared = fetch.size() < resolved.sharedParts().size();
-      fetch.add(holder.map(CacheStore::address));
+      fetch.add(holder.filter(tokens::containsKey).map(CacheStore::address));
       save.add(
           holder.isEmpty() && isShared ? planSave(stores, scope, part, now) : Optional.empty());
     }
-    return new CacheTransfers(fetch, save);
+    Map<String, Integer> fetchedTokens = new HashMap<>();
+    tokens.forEach((store, count) -> fetchedTokens.put(store.name(), count));
+    return new CacheTransfers(fetch, save, fetchedTokens);
   }
 
-  /** Returns the length of the prompt prefix that stores hold, tokens. */
-  public int storedTokens(ResolvedRequest resolved, List<CacheStore> stores, String scope) {
-    int tokens = 0;
-    for (PromptPart part : resolved.request().prompt()) {
-      if (findHolder(stores, scope, part).isEmpty()) {
-        return tokens;
-      }
-      tokens += part.tokens();
+  private List<Optional<CacheStore>> findHolders(
+      ResolvedRequest resolved, List<CacheStore> stores, String scope) {
+    return resolved.request().prompt().stream()
+        .map(part -> findHolder(stores, scope, part))
+        .toList();
+  }
+
+  private static Map<CacheStore, Integer> tokensByStore(
+      ResolvedRequest resolved, List<Optional<CacheStore>> holders) {
+    Map<CacheStore, Integer> tokens = new LinkedHashMap<>();
+    for (int i = 0; i < holders.size(); i++) {
+      int length = resolved.request().prompt().get(i).tokens();
+      holders.get(i).ifPresent(store -> tokens.merge(store, length, Integer::sum));
     }
     return tokens;
   }
 
+  private boolean isWorthFetching(
+      ResolvedRequest resolved, CacheStore store, int tokens, EngineRates rates) {
+    EngineCapacity engine = resolved.service().engine().orElseThrow();
+    double fetchMillis =
+        rates.fetchMillis(tokens, store, engine) + fetchTimes.delayMillis(store.name());
+    return fetchMillis <= rates.computeMillis(tokens);
+  }
+
+  /** Returns the length of the prompt prefix that is worth fetching from stores, tokens. */
+  public int storedTokens(
+      ResolvedRequest resolved, List<CacheStore> stores, String scope, EngineRates rates) {
+    List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
+    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
+    int length = 0;
+    for (int i = 0; i < holders.size(); i++) {
+      Optional<CacheStore> holder =
+          holders
+              .get(i)
+              .filter(store -> isWorthFetching(resolved, store, tokens.get(store), rates));
+      if (holder.isEmpty()) {
+        return length;
+      }
+      length += resolved.request().prompt().get(i).tokens();
+    }
+    return length;
+  }
+
   private Optional<CacheStore> findHolder(List<CacheStore> stores, String scope, PromptPart part) {
     List<String> names = stores.stream().map(CacheStore::name).toList();
     Optional<String> holder = stored.findHolder(names, scope, part);
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -34,7 +34,14 @@
     Optional<RelayPlacement.Choice> other =
         RelayPlacement.forDataCentre("dc-1")
             .choose(
-                DRAFT, TARGETS, RelayLoadTable.forInstance("entry-1"), 0, Set.of(), INSTANCES, TestRequests.NOW);
+                DRAFT,
+                TARGETS,
+                RelayLoadTable.forInstance("entry-1"),
+                0,
+                TestRequests.RATES,
+                Set.of(),
+                INSTANCES,
+                TestRequests.NOW);
 
     assertEquals(preferred, other.orElseThrow().target().id());
   }
@@ -145,7 +152,13 @@
     Optional<RelayPlacement.Choice> ejected =
         RelayPlacement.forDataCentre("dc-1")
             .chooseIncludingEjected(
-                DRAFT, TARGETS, load, Set.of(TARGETS.get(0).id()), INSTANCES, TestRequests.NOW);
+                DRAFT,
+                TARGETS,
+                load,
+                TestRequests.RATES,
+                Set.of(TARGETS.get(0).id()),
+                INSTANCES,
+                TestRequests.NOW);
 
     assertTrue(choose(DRAFT).isEmpty());
     assertNotEquals(TARGETS.get(0), ejected.orElseThrow().target());
@@ -177,6 +190,7 @@
 
   private Optional<RelayPlacement.Choice> choose(ResolvedRequest resolved) {
     return RelayPlacement.forDataCentre("dc-1")
-        .choose(resolved, TARGETS, load, 0, Set.of(), INSTANCES, TestRequests.NOW);
+        .choose(
+            resolved, TARGETS, load, 0, TestRequests.RATES, Set.of(), INSTANCES, TestRequests.NOW);
   }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
@@ -163,7 +163,15 @@
   private void place(
       Kind kind, ResolvedRequest resolved, int stored, RelayLoadTable table, double arrivedMillis) {
     Optional<RelayPlacement.Choice> choice =
-        placement.choose(resolved, engines, table, stored, Set.of(), tables.size(), instant());
+        placement.choose(
+            resolved,
+            engines,
+            table,
+            stored,
+            TestRequests.RATES,
+            Set.of(),
+            tables.size(),
+            instant());
     if (choice.isEmpty()) {
       schedule(RETRY_MILLIS, () -> place(kind, resolved, stored, table, arrivedMillis));
       return;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -15,6 +15,7 @@
 final class TestRequests {
 
   static final Instant NOW = Instant.ofEpochSecond(1000);
+  static final EngineRates RATES = new EngineRates(140, 240);
   private static final int SLOTS = 48;
   private static final long CACHE_TOKENS = 100_000;
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TransferPlannerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TransferPlannerTest.java
@@ -18,7 +18,8 @@
   private static final ResolvedRequest DRAFT = TestRequests.generation(CONTEXT, OWN);
 
   private final StoredParts stored = StoredParts.create();
-  private final TransferPlanner planner = TransferPlanner.of(stored);
+  private final FetchTimes fetchTimes = FetchTimes.create();
+  private final TransferPlanner planner = TransferPlanner.of(stored, fetchTimes);
 
   @Test
   void should_save_only_parts_that_other_requests_share() {
@@ -43,7 +44,7 @@
     stored.add("large", SCOPE, "context", 8000);
 
     assertEquals(Optional.of(LARGE.address()), plan(LARGE).fetch().get(0));
-    assertEquals(8000, planner.storedTokens(DRAFT, List.of(LARGE), SCOPE));
+    assertEquals(8000, planner.storedTokens(DRAFT, List.of(LARGE), SCOPE, TestRequests.RATES));
   }
 
   @Test
@@ -77,7 +78,7 @@
   }
 
   private CacheTransfers plan(CacheStore store) {
-    return planner.plan(DRAFT, List.of(store), SCOPE, TestRequests.NOW);
+    return planner.plan(DRAFT, List.of(store), SCOPE, TestRequests.RATES, TestRequests.NOW);
   }
 
   private static CacheStore store(String name, String address, long tokens) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -22,6 +22,7 @@
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -223,7 +224,7 @@
     triedTargets.add(target.id());
     RelayLoadTable.InFlightRequest run =
         relay.load().recordSent(target, request, choice.firstTokenMillis());
-    TargetCall next = new TargetCall(this, target, run);
+    TargetCall next = new TargetCall(this, target, run, choice);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay, request, sendCount + 1, choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
@@ -255,14 +256,11 @@
     }
     sendCount++;
     sentAt = Optional.of(now);
-    next.connected(connection);
+    CacheTransfers transfers = relay.planTransfers(request, next.target());
+    next.sent(connection, transfers, now);
     RelayProtocol.ForwardedRequest forwarded =
         new RelayProtocol.ForwardedRequest(
-            request,
-            next.target(),
-            remaining,
-            lastEventId,
-            relay.planTransfers(request, next.target()));
+            request, next.target(), remaining, lastEventId, transfers);
     HttpHeaders headers = relay.protocol().targetHeaders(httpRequest.headers(), forwarded);
     ByteBuf body = httpRequest.content().retainedDuplicate();
     if (body.isReadable() || httpRequest.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
@@ -441,7 +439,10 @@
     if (isDone) {
       return;
     }
-    relay.load().recordFirstToken(from.run());
+    if (from.eventCount() == 1) {
+      relay.load().recordFirstToken(from.run());
+      from.estimate().ifPresent(sent -> relay.recordFirstToken(request, sent, relay.now()));
+    }
     if (isAlreadySent(event)) {
       return;
     }
@@ -491,11 +492,20 @@
   void callerDisconnected() {
     if (!isDone) {
       relay.metrics().callerDisconnected(sentAt.isPresent());
+      recordMissingFirstToken();
       String target = call.map(current -> current.target().id()).orElse("none");
       finish("caller-gone", target, "");
     }
   }
 
+  /** Learns from a request that is given up without a first token that it took at least so long. */
+  private void recordMissingFirstToken() {
+    Instant now = relay.now();
+    call.filter(current -> current.eventCount() == 0)
+        .flatMap(TargetCall::estimate)
+        .ifPresent(sent -> relay.recordFirstToken(request, sent, now));
+  }
+
   /** Gives the request up because the process stops. */
   void instanceStopped() {
     if (isDone) {
@@ -515,6 +525,7 @@
       return;
     }
     call.ifPresent(current -> relay.load().recordFailure(current.target().id(), relay.now()));
+    recordMissingFirstToken();
     if (isResponseStarted) {
       abort("the time of the route is over");
     } else if (isPossiblyExecuted()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -19,6 +19,10 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.EngineRates;
+import org.geraniumwharf.relay.FetchTimes;
+import org.geraniumwharf.relay.FirstTokenEstimate;
+import org.geraniumwharf.relay.PrefillRate;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -51,6 +55,8 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
   private final KnownStores stores;
+  private final FetchTimes fetchTimes = FetchTimes.create();
+  private final PrefillRate prefillRate = PrefillRate.create();
   private final TransferPlanner transferPlanner;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<TargetConnectionPool, CrashWatch> crashWatches = new ConcurrentHashMap<>();
@@ -67,7 +73,7 @@
       EventLog log,
       InstantSource clock) {
     this.stores = stores;
-    this.transferPlanner = TransferPlanner.of(stores.storedParts());
+    this.transferPlanner = TransferPlanner.of(stores.storedParts(), fetchTimes);
     this.load = load;
     this.quarantine = quarantine;
     this.admission = admission;
@@ -227,6 +233,7 @@
         targets,
         load,
         storedTokens(request, targets),
+        rates(request),
         triedTargets,
         liveInstances.getAsInt(),
         now);
@@ -237,7 +244,7 @@
       ResolvedRequest request, Set<String> triedTargets, Instant now) {
     List<RelayTarget> targets = admission.routing().targetsOf(request.service().name());
     return placement.chooseIncludingEjected(
-        request, targets, load, triedTargets, liveInstances.getAsInt(), now);
+        request, targets, load, rates(request), triedTargets, liveInstances.getAsInt(), now);
   }
 
   private int storedTokens(ResolvedRequest request, List<RelayTarget> targets) {
@@ -245,7 +252,16 @@
       return 0;
     }
     return transferPlanner.storedTokens(
-        request, availableStores(), request.cacheScope(targets.get(0)));
+        request, availableStores(), request.cacheScope(targets.get(0)), rates(request));
+  }
+
+  private EngineRates rates(ResolvedRequest request) {
+    double prefill = prefillRate.tokensPerMilli(request.service().name());
+    return request
+        .service()
+        .engine()
+        .map(engine -> EngineRates.of(engine, prefill))
+        .orElseGet(() -> new EngineRates(prefill, prefill));
   }
 
   private List<CacheStore> availableStores() {
@@ -257,7 +273,30 @@
 
   /** Plans which parts a target fetches from and saves to cache stores for a request. */
   CacheTransfers planTransfers(ResolvedRequest request, RelayTarget target) {
-    return transferPlanner.plan(request, availableStores(), request.cacheScope(target), now());
+    return transferPlanner.plan(
+        request, availableStores(), request.cacheScope(target), rates(request), now());
+  }
+
+  /**
+   * Learns from the first token of a generation, or from its absence until now, how fast engines
+   * compute and stores transfer.
+   */
+  void recordFirstToken(ResolvedRequest request, FirstTokenEstimate estimate, Instant now) {
+    if (!request.isGeneration()) {
+      return;
+    }
+    double delay = estimate.delayMillis(rates(request), now);
+    Map<String, Integer> fetched = estimate.transfers().fetchedTokens();
+    if (fetched.isEmpty()) {
+      fetchTimes.recordWithoutFetch(delay);
+      prefillRate.record(
+          request.service().name(),
+          request.request().promptTokens() - estimate.choice().cachedTokens(),
+          estimate.choice().load().backlogMillis(),
+          estimate.elapsedMillis(now));
+    } else {
+      estimate.dominantStore().ifPresent(store -> fetchTimes.recordFetch(store, delay));
+    }
   }
 
   /** Records that a request of a service ended, and wakes queued requests to use the free slot. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -4,8 +4,12 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Instant;
 import java.util.Optional;
+import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.RelayLoadTable;
+import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.TargetNotice;
 
@@ -26,6 +30,8 @@
   private final RelayLoadTable.InFlightRequest run;
   private final EventStreamDecoder eventDecoder = new EventStreamDecoder();
   private final CompositeByteBuf body = Unpooled.compositeBuffer();
+  private final RelayPlacement.Choice choice;
+  private Optional<FirstTokenEstimate> estimate = Optional.empty();
   private Optional<TargetConnection> connection = Optional.empty();
   private Optional<HttpResponse> head = Optional.empty();
   private TargetResponse.Verdict verdict = TargetResponse.Verdict.UNTRUSTED;
@@ -33,7 +39,12 @@
   private boolean isTurnedAway;
   private boolean isEnded;
 
-  TargetCall(RelayExchange exchange, RelayTarget target, RelayLoadTable.InFlightRequest run) {
+  TargetCall(
+      RelayExchange exchange,
+      RelayTarget target,
+      RelayLoadTable.InFlightRequest run,
+      RelayPlacement.Choice choice) {
+    this.choice = choice;
     this.exchange = exchange;
     this.target = target;
     this.run = run;
@@ -48,8 +59,15 @@
     return target;
   }
 
-  void connected(TargetConnection opened) {
+  /** Records that the request is being sent. */
+  void sent(TargetConnection opened, CacheTransfers transfers, Instant now) {
     connection = Optional.of(opened);
+    estimate = Optional.of(new FirstTokenEstimate(choice, transfers, now));
+  }
+
+  /** Returns what was expected when the request was sent; empty if it has not been. */
+  Optional<FirstTokenEstimate> estimate() {
+    return estimate;
   }
 
   boolean isSent() {
