Show by tests that eight faults of other operators' systems do not occur here

Reports of operators: late second copies of answers, requests cut in planned stops, slow and stalled streams, targets that are silent, hand-overs, lost answers, heads cut in the middle, requests late in the grace time.

--- a/geraniumwharf-testing/src/test/java/org/geraniumwharf/testing/FaultMatrixTest.java
+++ b/geraniumwharf-testing/src/test/java/org/geraniumwharf/testing/FaultMatrixTest.java
@@ -24,6 +24,7 @@
 
   private static final Path PAGE = Path.of("..", "docs", "FAULTS.md");
   private static final Path MATRIX = Path.of("src", "test", "resources", "fault-matrix.txt");
+  private static final Path REPORTS = Path.of("src", "test", "resources", "operator-reports.txt");
   private static final Path FEATURES = Path.of("src", "test", "resources", "features");
 
   /** One cell: what a fault at a step is shown by, why it cannot arise, or that it is open. */
@@ -43,6 +44,20 @@
     }
   }
 
+  /** A fault that operators of similar systems reported, and the tests that show it here. */
+  private record Report(String fault, List<String> tests) {
+
+    static Report parse(String line) {
+      List<String> parts = List.of(line.split("\\|", -1));
+      return new Report(parts.get(0), parts.subList(1, parts.size()));
+    }
+
+    String row() {
+      List<String> names = tests.stream().map(test -> "`" + test + "`").toList();
+      return "| " + fault + " | " + String.join(", ", names) + " |";
+    }
+  }
+
   @Test
   void should_have_one_cell_for_each_fault_at_each_step() throws IOException {
     List<Cell> cells = cells();
@@ -67,6 +82,18 @@
     }
   }
 
+  @Test
+  void should_name_tests_that_exist_for_each_report_of_operators() throws IOException {
+    Map<String, Path> sources = testSources();
+
+    for (Report report : reports()) {
+      assertTrue(!report.tests().isEmpty(), report.fault());
+      for (String test : report.tests()) {
+        assertTrue(isTest(test, sources), test);
+      }
+    }
+  }
+
   @Test
   void should_be_printed_in_the_documentation() throws IOException {
     String expected = page();
@@ -80,7 +107,7 @@
   private static boolean isTest(String reference, Map<String, Path> sources) throws IOException {
     String[] parts = reference.split("#", -1);
     Path source = sources.get(parts[0] + ".java");
-    return source != null && Files.readString(source).contains("void " + parts[1] + "()");
+    return source != null && Files.readString(source).contains("void " + parts[1] + "(");
   }
 
   private static Map<String, Path> testSources() throws IOException {
@@ -115,6 +142,10 @@
     return Files.readAllLines(MATRIX).stream().map(Cell::parse).toList();
   }
 
+  private static List<Report> reports() throws IOException {
+    return Files.readAllLines(REPORTS).stream().map(Report::parse).toList();
+  }
+
   private static String page() throws IOException {
     List<Cell> cells = cells();
     List<String> lines = new ArrayList<>();
@@ -140,6 +171,14 @@
           .filter(cell -> cell.step().equals(step))
           .forEach(cell -> lines.add("| " + cell.fault() + " | " + cell.shown() + " |"));
     }
+    lines.add("");
+    lines.add("## Reports of other operators");
+    lines.add("");
+    lines.add("What went wrong in similar systems, and the tests that show that it does not here.");
+    lines.add("");
+    lines.add("| fault | tests |");
+    lines.add("|---|---|");
+    reports().forEach(report -> lines.add(report.row()));
     return String.join("\n", lines) + "\n";
   }
 
