Prefer a fetch to computing within a share of the time goal of a request

The first form of the rule left a store out as soon as a fetch took longer than computing. Computing takes the time of other requests at the engine, so a fetch that still leaves the request in time is better for all. A store is left out only if fetches take longer than 0.35 of the goal of the request besides; its recovery is tried every 250 ms and believed sooner.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FetchTimes.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FetchTimes.java
@@ -17,8 +17,10 @@
  */
 public final class FetchTimes {
 
-  /** Weight of a new sample of a store, of which there are few. */
-  private static final double STORE_SMOOTHING = 0.3;
+  /** Weights of a new sample of a store, of which there are few: of a slower and a faster one. */
+  private static final double SLOWER_SMOOTHING = 0.3;
+
+  private static final double FASTER_SMOOTHING = 0.5;
 
   private static final double BASELINE_SMOOTHING = 0.05;
 
@@ -26,7 +28,7 @@
   private static final double MAX_SAMPLE_MILLIS = 2500;
 
   /** Interval between the requests that try a store which is not worth fetching from. */
-  private static final Duration TRIAL_INTERVAL = Duration.ofMillis(400);
+  private static final Duration TRIAL_INTERVAL = Duration.ofMillis(250);
 
   private final Map<String, Store> stores = new HashMap<>();
   private double baselineMillis;
@@ -46,7 +48,8 @@
   public synchronized void recordFetch(String store, double delayMillis) {
     Store times = stores.computeIfAbsent(store, name -> new Store());
     double sample = bounded(delayMillis) - baselineMillis;
-    times.delayMillis += STORE_SMOOTHING * (sample - times.delayMillis);
+    double smoothing = sample > times.delayMillis ? SLOWER_SMOOTHING : FASTER_SMOOTHING;
+    times.delayMillis += smoothing * (sample - times.delayMillis);
   }
 
   private static double bounded(double millis) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -16,10 +16,14 @@
 /**
  * Decides which parts of a prompt a target fetches from cache stores and which it saves there.
  * Parts that other requests share are saved once, to a store with free capacity that weighted
- * rendezvous hashing selects; a part is fetched only from a store that reported it as complete. A
- * store from which fetches currently take longer than computing the parts is left out. Parts are
- * never freed at a store, so none can disappear during a fetch. Safe for use by several threads;
- * the only other lock taken while its lock is held is that of the stored parts.
+ * rendezvous hashing selects; a part is fetched only from a store that reported it as complete.
+ * Parts are never freed at a store, so none can disappear during a fetch. Safe for use by several
+ * threads; the only other locks taken while its lock is held are those of the stored parts and the
+ * fetch times.
+ *
+ * <p>Handles the load pattern of a store that is slow or overloaded: a store from which fetches
+ * currently take longer than computing the parts, and longer than the time goal of the request
+ * leaves, is left out but for single trials.
  */
 public final class TransferPlanner {
 
@@ -34,6 +38,12 @@
 
   private static final int MAX_TRACKED_SAVES = 20_000;
 
+  /**
+   * Fraction of the time goal of a request within which a fetch is preferred to computing, which
+   * would take the time of other requests at the engine.
+   */
+  private static final double GOAL_SHARE_FOR_FETCH = 0.35;
+
   private final StoredParts stored;
   private final FetchTimes fetchTimes;
   private final Map<String, Instant> savePlannedAt = new HashMap<>();
@@ -107,7 +117,8 @@
     EngineCapacity engine = resolved.service().engine().orElseThrow();
     double fetchMillis =
         rates.fetchMillis(tokens, store, engine) + fetchTimes.delayMillis(store.name());
-    return fetchMillis <= rates.computeMillis(tokens);
+    double goalMillis = GOAL_SHARE_FOR_FETCH * resolved.route().goalMillis();
+    return fetchMillis <= Math.max(goalMillis, rates.computeMillis(tokens));
   }
 
   /** Returns the length of the prompt prefix that is worth fetching from stores, tokens. */
