Keep the sum of the reported load of all entries at the leader

The leader answered each heartbeat by adding up the load of every daemon anew. Entries send one each 150 ms while they have work, so 95 entries cost the leader 633 sums a second over 95 reports each. ReportedLoad keeps the totals and takes off what the asking entry itself reported; a report leaves the totals when its daemon's lease ends. Not measured by itself.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -151,7 +151,7 @@
             core.term(),
             duties.liveEntryInstances(now),
             duties.updateLimitShares(heartbeat, now),
-            duties.remoteLoad(heartbeat.daemon().name(), now),
+            duties.remoteLoad(heartbeat.daemon().name()),
             duties.suspectedParts(),
             duties.quarantinedParts(),
             stores.changesSince(heartbeat.storePositions())));
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -48,6 +48,7 @@
   private final EventLog log;
   private final Map<String, TargetLease> targetLeases = new HashMap<>();
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
+  private final ReportedLoad reportedLoad = new ReportedLoad();
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
   private Instant leaderSince = Instant.MIN;
@@ -65,6 +66,7 @@
   void startLeadership(ControlState state, Instant now) {
     targetLeases.clear();
     daemonLeases.clear();
+    reportedLoad.clear();
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
     leaderSince = now;
@@ -81,8 +83,8 @@
   /** Renews the leases that a heartbeat covers and returns commands for changed announcements. */
   List<Command> receiveHeartbeat(HeartbeatCall call, ControlState state, Instant now) {
     if (!isOlderIncarnation(call.daemon())) {
-      daemonLeases.put(
-          call.daemon().name(), new DaemonLease(call.daemon(), call.targetWork(), now));
+      daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
+      reportedLoad.replace(call.daemon().name(), call.targetWork());
     }
     recordCrashes(call, now);
     List<Command> commands = new ArrayList<>();
@@ -160,6 +162,7 @@
   /** Returns the commands for expired leases and for runs that are due to be pruned. */
   List<Command> tick(ControlState state, Instant now) {
     List<Command> commands = new ArrayList<>();
+    removeExpiredLoad(now);
     if (hasRecentHeartbeat(now)) {
       addExpiredTargets(state, now, commands);
     }
@@ -233,22 +236,17 @@
   }
 
   /** Returns the relayed load of all live daemons except one, summed by target. */
-  List<TargetWork> remoteLoad(String daemon, Instant now) {
-    Map<String, TargetWork> total = new HashMap<>();
-    for (DaemonLease lease : daemonLeases.values()) {
-      if (isLive(lease, now) && !lease.status().name().equals(daemon)) {
-        lease.work().forEach(work -> total.merge(work.target(), work, LeaderDuties::sum));
-      }
-    }
-    return List.copyOf(total.values());
+  List<TargetWork> remoteLoad(String daemon) {
+    return reportedLoad.allExcept(daemon);
   }
 
-  private static TargetWork sum(TargetWork one, TargetWork other) {
-    return TargetWork.of(
-        one.target(),
-        one.requests() + other.requests(),
-        one.tokens() + other.tokens(),
-        one.backlogMillis() + other.backlogMillis());
+  private void removeExpiredLoad(Instant now) {
+    daemonLeases.forEach(
+        (daemon, lease) -> {
+          if (!isLive(lease, now)) {
+            reportedLoad.remove(daemon);
+          }
+        });
   }
 
   List<DaemonStatus> liveDaemons(Instant now) {
@@ -272,5 +270,5 @@
 
   private record TargetLease(long incarnation, long sequence, Instant renewedAt) {}
 
-  private record DaemonLease(DaemonStatus status, List<TargetWork> work, Instant renewedAt) {}
+  private record DaemonLease(DaemonStatus status, Instant renewedAt) {}
 }
