--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/KnownStores.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/KnownStores.java
@@ -24,8 +24,11 @@
  */
 public final class KnownStores implements StoreExchange {
 
-  /** Age up to which a store may be used without news of it, as around a change of leader. */
-  private static final Duration VALIDITY = Duration.ofSeconds(6);
+  /**
+   * Age up to which a store may be used without news of it. A store that restarted meanwhile may be
+   * writing a part that this instance believes to be complete there.
+   */
+  private static final Duration VALIDITY = Duration.ofMillis(1500);
 
   private final StoredParts storedParts = StoredParts.create();
   private final EventLog log;
