--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -2,13 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -261,21 +256,8 @@
     RelayProtocol.ForwardedRequest forwarded =
         new RelayProtocol.ForwardedRequest(
             request, next.target(), remaining, lastEventId, transfers);
-    HttpHeaders headers = relay.protocol().targetHeaders(httpRequest.headers(), forwarded);
-    ByteBuf body = httpRequest.content().retainedDuplicate();
-    if (body.isReadable() || httpRequest.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-    }
     connection.send(
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            httpRequest.method(),
-            httpRequest.uri(),
-            body,
-            headers,
-            EmptyHttpHeaders.INSTANCE),
-        parsedRequest.id(),
-        next);
+        TargetRequests.forward(relay.protocol(), httpRequest, forwarded), parsedRequest.id(), next);
   }
 
   /** Places a request again whose target asked for no more while the connection was opened. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -19,19 +19,14 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
-import org.geraniumwharf.relay.EngineRates;
-import org.geraniumwharf.relay.FetchTimes;
 import org.geraniumwharf.relay.FirstTokenEstimate;
-import org.geraniumwharf.relay.PrefillRate;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.TargetNotice;
-import org.geraniumwharf.relay.TransferPlanner;
 import org.geraniumwharf.retry.RetryBudget;
-import org.geraniumwharf.schema.objects.CacheStore;
 
 /** State that all exchanges of one instance share. Thread-safe: each table has its own lock. */
 final class RelayState {
@@ -54,10 +49,7 @@
   private final InstantSource clock;
   private final AtomicInteger inFlight = new AtomicInteger();
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
-  private final KnownStores stores;
-  private final FetchTimes fetchTimes = FetchTimes.create();
-  private final PrefillRate prefillRate = PrefillRate.create();
-  private final TransferPlanner transferPlanner;
+  private final RelayTransfers transfers;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
   private final Map<TargetConnectionPool, CrashWatch> crashWatches = new ConcurrentHashMap<>();
 
@@ -72,8 +64,7 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
-    this.stores = stores;
-    this.transferPlanner = TransferPlanner.of(stores.storedParts(), fetchTimes);
+    this.transfers = RelayTransfers.create(admission, stores);
     this.load = load;
     this.quarantine = quarantine;
     this.admission = admission;
@@ -232,8 +223,8 @@
         request,
         targets,
         load,
-        storedTokens(request, targets),
-        rates(request),
+        transfers.storedTokens(request, targets, now),
+        transfers.rates(request),
         triedTargets,
         liveInstances.getAsInt(),
         now);
@@ -244,59 +235,23 @@
       ResolvedRequest request, Set<String> triedTargets, Instant now) {
     List<RelayTarget> targets = admission.routing().targetsOf(request.service().name());
     return placement.chooseIncludingEjected(
-        request, targets, load, rates(request), triedTargets, liveInstances.getAsInt(), now);
-  }
-
-  private int storedTokens(ResolvedRequest request, List<RelayTarget> targets) {
-    if (!request.isGeneration() || targets.isEmpty()) {
-      return 0;
-    }
-    return transferPlanner.storedTokens(
-        request, availableStores(), request.cacheScope(targets.get(0)), rates(request));
-  }
-
-  private EngineRates rates(ResolvedRequest request) {
-    double prefill = prefillRate.tokensPerMilli(request.service().name());
-    return request
-        .service()
-        .engine()
-        .map(engine -> EngineRates.of(engine, prefill))
-        .orElseGet(() -> new EngineRates(prefill, prefill));
-  }
-
-  private List<CacheStore> availableStores() {
-    Instant now = now();
-    return admission.routing().stores().stream()
-        .filter(store -> stores.isAvailable(store.name(), now))
-        .toList();
+        request,
+        targets,
+        load,
+        transfers.rates(request),
+        triedTargets,
+        liveInstances.getAsInt(),
+        now);
   }
 
   /** Plans which parts a target fetches from and saves to cache stores for a request. */
   CacheTransfers planTransfers(ResolvedRequest request, RelayTarget target) {
-    return transferPlanner.plan(
-        request, availableStores(), request.cacheScope(target), rates(request), now());
+    return transfers.plan(request, target, now());
   }
 
-  /**
-   * Learns from the first token of a generation, or from its absence until now, how fast engines
-   * compute and stores transfer.
-   */
+  /** Learns from the first token of a generation, or from its absence until now. */
   void recordFirstToken(ResolvedRequest request, FirstTokenEstimate estimate, Instant now) {
-    if (!request.isGeneration()) {
-      return;
-    }
-    double delay = estimate.delayMillis(rates(request), now);
-    Map<String, Integer> fetched = estimate.transfers().fetchedTokens();
-    if (fetched.isEmpty()) {
-      fetchTimes.recordWithoutFetch(delay);
-      prefillRate.record(
-          request.service().name(),
-          request.request().promptTokens() - estimate.choice().cachedTokens(),
-          estimate.choice().load().backlogMillis(),
-          estimate.elapsedMillis(now));
-    } else {
-      estimate.dominantStore().ifPresent(store -> fetchTimes.recordFetch(store, delay));
-    }
+    transfers.recordFirstToken(request, estimate, now);
   }
 
   /** Records that a request of a service ended, and wakes queued requests to use the free slot. */
