--- a/geraniumwharf-schema/src/main/java/org/geraniumwharf/schema/Codec.java
+++ b/geraniumwharf-schema/src/main/java/org/geraniumwharf/schema/Codec.java
@@ -25,9 +25,6 @@
 public final class Codec {
 
   private static final int MAX_NESTING = 64;
-  private static final Codec JSON = new Codec(jsonMapper());
-  private static final Codec MESSAGE_PACK =
-      new Codec(configured(new ObjectMapper(new MessagePackFactory())));
 
   private final ObjectMapper mapper;
 
@@ -36,11 +33,23 @@
   }
 
   public static Codec json() {
-    return JSON;
+    return JsonHolder.CODEC;
   }
 
   public static Codec messagePack() {
-    return MESSAGE_PACK;
+    return MessagePackHolder.CODEC;
+  }
+
+  /** Created on first use, since an entry instance may never use JSON. */
+  private static final class JsonHolder {
+
+    private static final Codec CODEC = new Codec(jsonMapper());
+  }
+
+  private static final class MessagePackHolder {
+
+    private static final Codec CODEC =
+        new Codec(configured(new ObjectMapper(new MessagePackFactory())));
   }
 
   private static ObjectMapper jsonMapper() {
