--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
@@ -22,7 +22,7 @@
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1800);
 
   /** Interval between a response and the next poll, so that changes arrive in batches. */
-  private static final long POLL_INTERVAL_MILLIS = 250;
+  private static final long POLL_INTERVAL_MILLIS = 100;
 
   private static final long RETRY_INTERVAL_MILLIS = 300;
   private static final int HTTP_OK = 200;
