--- a/review/src/review/FrozenCore.java
+++ b/review/src/review/FrozenCore.java
@@ -48,7 +48,7 @@
       throws IOException, InterruptedException, Case.NotRunException {
     Set<String> ran = ConcurrentHashMap.newKeySet();
     try (Installation installation = Installation.start(record, FRONTS);
-        Worker worker = application(record, installation, ran)) {
+        Worker worker = Worker.application(record, installation, ran)) {
       Operator operator = new Operator(record, installation);
       put(operator, 1, SECONDS);
       List<Client> clients = new ArrayList<>();
@@ -135,22 +135,4 @@
       throw new Case.NotRunException("manifest " + version + " was not confirmed");
     }
   }
-
-  private static Worker application(Record record, Installation installation, Set<String> ran)
-      throws IOException {
-    return new Worker(
-        record,
-        installation,
-        "i-7f3a91c2",
-        Manifests.APPLICATION,
-        "",
-        (worker, socket, input) -> {
-          while (true) {
-            Http.Message request = Http.readRequest(input);
-            worker.recordRun(request);
-            ran.add(request.header("X-Request-Id"));
-            socket.getOutputStream().write(Worker.answer(request, "booked"));
-          }
-        });
-  }
 }
--- a/review/src/review/LastKeys.java
+++ b/review/src/review/LastKeys.java
@@ -31,7 +31,7 @@
       throws IOException, Case.NotRunException {
     Set<String> ran = ConcurrentHashMap.newKeySet();
     try (Installation installation = Installation.start(record, 1);
-        Worker worker = application(record, installation, ran)) {
+        Worker worker = Worker.application(record, installation, ran)) {
       Operator operator = new Operator(record, installation);
       put(operator, 1, Manifests.tenant("bozi300", FIRST_KEY), Manifests.tenant("miru500", SECOND_KEY));
       Client client = new Client(record, installation.front(0).front());
@@ -47,24 +47,6 @@
     }
   }
 
-  private static Worker application(Record record, Installation installation, Set<String> ran)
-      throws IOException {
-    return new Worker(
-        record,
-        installation,
-        "i-7f3a91c2",
-        Manifests.APPLICATION,
-        "",
-        (worker, socket, input) -> {
-          while (true) {
-            Http.Message request = Http.readRequest(input);
-            worker.recordRun(request);
-            ran.add(request.header("X-Request-Id"));
-            socket.getOutputStream().write(Worker.answer(request, "booked"));
-          }
-        });
-  }
-
   private static void put(Operator operator, int version, String... tenants)
       throws Case.NotRunException {
     String manifest =
--- a/review/src/review/Worker.java
+++ b/review/src/review/Worker.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Map;
+import java.util.Set;
 
 /** A stand-in of a worker: it serves its port and sends status reports like a sound worker. */
 final class Worker implements AutoCloseable {
@@ -53,6 +54,25 @@
     thread(this::sendHeartbeats);
   }
 
+  /** Starts a worker of the application, which answers every request and notes that it ran. */
+  static Worker application(Record record, Installation installation, Set<String> ran)
+      throws IOException {
+    return new Worker(
+        record,
+        installation,
+        "i-7f3a91c2",
+        Manifests.APPLICATION,
+        "",
+        (worker, socket, input) -> {
+          while (true) {
+            Http.Message request = Http.readRequest(input);
+            worker.recordRun(request);
+            ran.add(request.header("X-Request-Id"));
+            socket.getOutputStream().write(answer(request, "booked"));
+          }
+        });
+  }
+
   private static void thread(Runnable work) {
     Thread thread = new Thread(work);
     thread.setDaemon(true);
