Bound the log of a replica by bytes, so that it can be read back

Each start ended with OutOfMemoryError in FileReplicaStorage.open, the manifest could not be read, and no target could register.

Each publication carries its whole document, so the log grew by the size of the manifest with each change, and a start read it into one array and copied every record out of it: twice the log had to fit into the heap of 96 MB.

Growth of the state itself was ruled out: every change is confirmed, and the state holds one document.

Records are encoded one at a time when they are written.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -55,6 +55,7 @@
   private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
   private static final Duration FRESHNESS_INTERVAL = Duration.ofMillis(250);
   private static final Duration STORAGE_RETRY_INTERVAL = Duration.ofMillis(200);
+  private static final long MIN_SNAPSHOT_INTERVAL_BYTES = 4L << 20;
   private static final Duration SHUTDOWN_TRANSFER_TIMEOUT = Duration.ofSeconds(1);
 
   private final ControlOptions options;
@@ -65,6 +66,7 @@
   private final InstantSource clock;
   private final ControlState state = ControlState.empty();
   private final PendingCalls pendingCalls = new PendingCalls();
+  private final SnapshotSchedule snapshots;
   private final LeaderDuties duties;
   private final PlacementDuty placement;
   private final ViewStream viewStream;
@@ -84,7 +86,6 @@
   private Instant stopDeadline = Instant.MAX;
   private Instant nextTick = Instant.MIN;
   private Instant nextFreshness = Instant.MIN;
-  private long snapshotIndex;
   private Role lastRole = Role.FOLLOWER;
   private Optional<String> lastLeader = Optional.empty();
 
@@ -101,6 +102,7 @@
     this.sender = sender;
     this.log = log;
     this.clock = clock;
+    this.snapshots = SnapshotSchedule.of(options.snapshotEntries(), MIN_SNAPSHOT_INTERVAL_BYTES);
     this.duties = new LeaderDuties(options, log);
     this.placement = new PlacementDuty(options, log);
     this.viewStream = new ViewStream(state::view, this::memberNames);
@@ -359,12 +361,13 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    snapshotIndex = snapshot.index();
+    snapshots.recordSaved(snapshot.index(), snapshot.data().length);
     pendingCalls.failEntriesUpTo(snapshot.index());
     viewStream.reset(snapshot.index(), viewAgeMillis(clock.instant()));
   }
 
   private void apply(LogEntry entry) {
+    snapshots.recordApplied(entry.payload().length);
     if (entry.kind() != EntryKind.COMMAND) {
       state.skipEntry(entry.index());
       viewStream.sendFreshness(state.index(), viewAgeMillis(clock.instant()));
@@ -386,7 +389,7 @@
 
   private void takeSnapshotIfDue() {
     long index = state.index();
-    if (index - snapshotIndex < options.snapshotEntries()) {
+    if (!snapshots.isDue(index)) {
       return;
     }
     long term = core.termAt(index);
@@ -394,11 +397,11 @@
     RaftSnapshot snapshot = RaftSnapshot.of(index, term, core.membershipAt(index), data);
     try {
       storage.saveSnapshot(snapshot, core.hardState(), core.entriesAfter(index));
-      snapshotIndex = index;
+      snapshots.recordSaved(index, data.length);
       core.compactTo(index);
       log.info(Event.of("snapshot-saved").with("index", index).with("bytes", data.length));
     } catch (StorageException e) {
-      snapshotIndex = index;
+      snapshots.recordSaved(index, data.length);
       log.warn(Event.of("snapshot-failed").with("index", index).with("cause", e.getMessage()));
     }
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
@@ -1,13 +1,11 @@
 package org.geraniumwharf.internal.storage;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.geraniumwharf.internal.raft.RaftSnapshot;
@@ -53,10 +51,11 @@
     Path file = folder.path().resolve(LOG_NAME);
     try {
       Optional<RaftSnapshot> snapshot = SnapshotFile.read(folder.path());
-      byte[] bytes = Files.exists(file) ? Files.readAllBytes(file) : new byte[0];
-      LogReplay replay = LogReplay.of(file, bytes, snapshot);
       FileChannel channel =
-          FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+          FileChannel.open(
+              file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
+      RecordReader reader = RecordReader.of(channel);
+      LogReplay replay = LogReplay.of(file, reader, snapshot);
       channel.truncate(replay.validBytes());
       channel.position(replay.validBytes());
       channel.force(true);
@@ -69,7 +68,7 @@
               snapshot,
               replay.entries(),
               snapshot.isEmpty() && replay.isEmpty(),
-              bytes.length - replay.validBytes());
+              reader.size() - replay.validBytes());
       return new OpenResult(storage, recovered);
     } catch (IOException e) {
       throw new StorageException("cannot open the log " + file + ": " + e, e);
@@ -79,13 +78,10 @@
   @Override
   public void append(Optional<HardState> hardState, List<LogEntry> entries)
       throws StorageException {
-    List<ByteBuffer> records = new ArrayList<>();
-    hardState.ifPresent(state -> records.add(RecordFormat.encode(LogRecord.encode(state))));
-    entries.forEach(entry -> records.add(RecordFormat.encode(LogRecord.encode(entry))));
     try {
       logChannel.truncate(validBytes);
       logChannel.position(validBytes);
-      long written = writeAll(logChannel, records);
+      long written = writeRecords(logChannel, hardState, entries);
       logChannel.force(false);
       validBytes += written;
     } catch (IOException e) {
@@ -100,16 +96,13 @@
     try {
       SnapshotFile.write(folder.path(), snapshot);
       latestSnapshot = Optional.of(snapshot);
-      List<ByteBuffer> records = new ArrayList<>();
-      records.add(RecordFormat.encode(LogRecord.encode(hardState)));
-      retained.forEach(entry -> records.add(RecordFormat.encode(LogRecord.encode(entry))));
       FileChannel channel =
           FileChannel.open(
               newLog,
               StandardOpenOption.CREATE,
               StandardOpenOption.WRITE,
               StandardOpenOption.TRUNCATE_EXISTING);
-      long written = writeAll(channel, records);
+      long written = writeRecords(channel, Optional.of(hardState), retained);
       channel.force(true);
       Files.move(
           newLog,
@@ -125,12 +118,16 @@
     }
   }
 
-  private static long writeAll(FileChannel channel, List<ByteBuffer> records) throws IOException {
+  /** Encodes one record at a time, so that only one is held in memory besides the entries. */
+  private static long writeRecords(
+      FileChannel channel, Optional<HardState> hardState, List<LogEntry> entries)
+      throws IOException {
     long written = 0;
-    for (ByteBuffer record : records) {
-      while (record.hasRemaining()) {
-        written += channel.write(record);
-      }
+    if (hardState.isPresent()) {
+      written += RecordFormat.write(channel, LogRecord.encode(hardState.get()));
+    }
+    for (LogEntry entry : entries) {
+      written += RecordFormat.write(channel, LogRecord.encode(entry));
     }
     return written;
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
@@ -18,25 +18,32 @@
   private final long snapshotIndex;
   private final List<LogEntry> entries = new ArrayList<>();
   private HardState hardState = INITIAL_HARD_STATE;
-  private int offset;
+  private long offset;
 
   private LogReplay(Path file, long baseIndex) {
     this.file = file;
     this.snapshotIndex = baseIndex;
   }
 
-  static LogReplay of(Path file, byte[] bytes, Optional<RaftSnapshot> snapshot)
-      throws StorageException {
+  /**
+   * Replays a file.
+   *
+   * @param file name of the file in error messages
+   * @throws IOException if the file cannot be read
+   * @throws StorageException if a record before the last is damaged
+   */
+  static LogReplay of(Path file, RecordReader reader, Optional<RaftSnapshot> snapshot)
+      throws StorageException, IOException {
     LogReplay replay = new LogReplay(file, snapshot.map(RaftSnapshot::index).orElse(0L));
-    replay.replay(bytes);
+    replay.replay(reader);
     return replay;
   }
 
-  private void replay(byte[] bytes) throws StorageException {
-    while (offset < bytes.length) {
-      Optional<byte[]> record = RecordFormat.decodeAt(bytes, offset);
+  private void replay(RecordReader reader) throws StorageException, IOException {
+    while (offset < reader.size()) {
+      Optional<byte[]> record = reader.recordAt(offset);
       if (record.isEmpty()) {
-        checkTornTail(bytes);
+        checkTornTail(reader);
         return;
       }
       apply(record.get());
@@ -45,8 +52,8 @@
   }
 
   /** Accepts an incomplete last record, and rejects a log with a valid record after the damage. */
-  private void checkTornTail(byte[] bytes) throws StorageException {
-    if (RecordFormat.hasRecordAfter(bytes, offset)) {
+  private void checkTornTail(RecordReader reader) throws StorageException, IOException {
+    if (reader.hasRecordAfter(offset)) {
       throw new StorageException(
           "the log "
               + file
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
@@ -1,7 +1,8 @@
 package org.geraniumwharf.internal.storage;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Optional;
+import java.nio.channels.FileChannel;
 import java.util.zip.CRC32C;
 
 /**
@@ -13,6 +14,9 @@
 
   static final int HEADER_BYTES = 12;
 
+  /** First byte of the magic number, and so of each record. */
+  static final byte FIRST_BYTE = 0x47;
+
   private static final int MAGIC = 0x47575243;
   private static final int MAX_BODY_BYTES = 64 << 20;
 
@@ -24,33 +28,33 @@
     return buffer.flip();
   }
 
-  /** Returns the body of the record at an offset; empty if there is no complete, valid record. */
-  static Optional<byte[]> decodeAt(byte[] file, int offset) {
-    if (file.length - offset < HEADER_BYTES) {
-      return Optional.empty();
+  /**
+   * Writes one record at the position of a channel.
+   *
+   * @return bytes written
+   */
+  static long write(FileChannel channel, byte[] body) throws IOException {
+    ByteBuffer record = encode(body);
+    long written = 0;
+    while (record.hasRemaining()) {
+      written += channel.write(record);
     }
-    ByteBuffer buffer = ByteBuffer.wrap(file, offset, file.length - offset);
+    return written;
+  }
+
+  /** Returns the length of the body that a header announces, or -1 if it is no valid header. */
+  static int bodyLength(byte[] header) {
+    ByteBuffer buffer = ByteBuffer.wrap(header);
     if (buffer.getInt() != MAGIC) {
-      return Optional.empty();
+      return -1;
     }
     int length = buffer.getInt();
-    int checksum = buffer.getInt();
-    if (length < 0 || length > MAX_BODY_BYTES || length > buffer.remaining()) {
-      return Optional.empty();
-    }
-    byte[] body = new byte[length];
-    buffer.get(body);
-    return checksum(body) == checksum ? Optional.of(body) : Optional.empty();
+    return length <= MAX_BODY_BYTES ? length : -1;
   }
 
-  /** Returns whether any valid record starts after an offset. */
-  static boolean hasRecordAfter(byte[] file, int offset) {
-    for (int i = offset + 1; i <= file.length - HEADER_BYTES; i++) {
-      if (decodeAt(file, i).isPresent()) {
-        return true;
-      }
-    }
-    return false;
+  /** Returns whether a header has the checksum of a body. */
+  static boolean isChecksumOf(byte[] header, byte[] body) {
+    return ByteBuffer.wrap(header).getInt(2 * Integer.BYTES) == checksum(body);
   }
 
   private static int checksum(byte[] body) {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.internal.storage;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,9 +28,10 @@
     if (!Files.exists(file)) {
       return Optional.empty();
     }
-    try {
+    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
       byte[] body =
-          RecordFormat.decodeAt(Files.readAllBytes(file), 0)
+          RecordReader.of(channel)
+              .recordAt(0)
               .orElseThrow(() -> new StorageException("the snapshot is damaged: " + file));
       StateSnapshot state = Codec.messagePack().decode(body, StateSnapshot.class);
       return Optional.of(RaftSnapshot.of(state.index(), state.term(), state.membership(), body));
@@ -48,10 +48,7 @@
             StandardOpenOption.CREATE,
             StandardOpenOption.WRITE,
             StandardOpenOption.TRUNCATE_EXISTING)) {
-      ByteBuffer record = RecordFormat.encode(snapshot.data());
-      while (record.hasRemaining()) {
-        channel.write(record);
-      }
+      var unused = RecordFormat.write(channel, snapshot.data());
       channel.force(true);
     }
     Files.move(
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -130,6 +131,45 @@
     assertEquals(false, reopen().isNew());
   }
 
+  /** Guards against a replica that cannot start because it reads its log into memory as a whole. */
+  @Test
+  void should_read_a_log_that_is_larger_than_the_memory()
+      throws StorageException, IOException, InterruptedException {
+    LogEntry large = LogEntry.of(1, 1, EntryKind.BARRIER, new byte[512 << 10]);
+    write(
+        storage -> {
+          for (int i = 0; i < 64; i++) {
+            storage.append(Optional.empty(), List.of(large));
+          }
+        });
+
+    Process child =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx16m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                OpenedByProcess.class.getName(),
+                folder.toString())
+            .redirectErrorStream(true)
+            .start();
+
+    String output = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertEquals("entries 1", output.strip());
+    assertEquals(0, child.waitFor());
+  }
+
+  /** Opens a folder in a process of its own. */
+  static final class OpenedByProcess {
+
+    public static void main(String[] args) throws StorageException {
+      try (DataFolder data = DataFolder.open(Path.of(args[0]))) {
+        FileReplicaStorage.OpenResult opened = FileReplicaStorage.open(data);
+        System.out.println("entries " + opened.recovered().entries().size());
+      }
+    }
+  }
+
   private interface StorageAction {
     void run(ReplicaStorage storage) throws StorageException;
   }
