Take an answer without a length for whole only at the target's own end

Cause: the HTTP codec ends a body without a length when its connection becomes inactive. A reset that a read notices is reported to the handlers, and was marked; a reset that a write notices closes the connection on this side without a word. In the native client the operating system returns an end of input to the read once a write has reported the reset. Both took the absence of an error for an orderly end.

Change: connections to targets allow half closure, so that the orderly end of the target's output is an event of a connection that is still open. A body without a length is complete only then. The native client fails such an answer if its request could not be written to the end.

Why it works: the end of the target's output comes in order behind its bytes, and no failure can produce it while the connection is open. Answers with a length or chunks name their own end.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -58,6 +59,7 @@
   private boolean isReusable = true;
   private boolean isDiscarding;
   private boolean isHeadReceived;
+  private boolean isBodyDelimited;
   private boolean isReset;
   private int uselessBytes;
   private int interimResponses;
@@ -206,7 +208,8 @@
     }
     isHeadReceived = true;
     uselessBytes = 0;
-    if (!HttpUtil.isKeepAlive(head) || !isBodyDelimited(head)) {
+    isBodyDelimited = isBodyDelimited(head);
+    if (!HttpUtil.isKeepAlive(head) || !isBodyDelimited) {
       isReusable = false;
     }
     idleTimeout = idleTimeout(head);
@@ -236,11 +239,21 @@
       uselessBytes = 0;
       listener.ifPresent(active -> active.onContent(content.content()));
     }
-    if (content instanceof LastHttpContent) {
+    if (content instanceof LastHttpContent && isEndSentByTarget()) {
       completeResponse();
     }
   }
 
+  /**
+   * Returns whether the end of the body came from the target. The HTTP codec also ends a body
+   * without a length when the connection is closed on this side, for example after a write failed
+   * because the target had reset the connection; the rest of such a body may be lost. When the
+   * target ends its output in order, the connection is still active.
+   */
+  private boolean isEndSentByTarget() {
+    return isBodyDelimited || channel.isActive();
+  }
+
   private void completeResponse() {
     Optional<ResponseListener> completed = listener;
     listener = Optional.empty();
@@ -268,8 +281,16 @@
     fail("the connection to the target failed: " + cause.getMessage());
   }
 
+  /** Called after the HTTP codec has ended a body that ends with the output of the target. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      fail("the target closed the connection");
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    fail("the target closed the connection");
+    fail("the connection to the target was closed or reset");
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -108,6 +108,7 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
         .option(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -157,6 +157,18 @@
       }
     }
 
+    /**
+     * After a write noticed that the target reset the connection, reading returns an end of input
+     * as if the target had closed it in order. A body without a length may then have lost its rest.
+     */
+    void checkEndSentByTarget(Response response) throws IOException {
+      boolean isDelimited =
+          response.body().contentLength() >= 0 || response.header("Transfer-Encoding") != null;
+      if (tracker.isSendingFailed() && !isDelimited) {
+        throw new IOException("the connection failed while the request was written");
+      }
+    }
+
     TargetAnswer whole(int maxBytes, boolean isNameRequired) throws TargetCallException {
       try (Response response = execute()) {
         checkAttempt(response, isNameRequired);
@@ -167,6 +179,7 @@
     TargetAnswer wholeAnswer(Response response, int maxBytes) throws TargetCallException {
       try {
         byte[] body = BoundedBodies.read(response, request.target().id(), maxBytes);
+        checkEndSentByTarget(response);
         return TargetAnswer.of(
             response.code(),
             response.header("Content-Type", "application/octet-stream"),
@@ -245,6 +258,7 @@
             return Optional.of(line.substring(DATA.length()).strip());
           }
         }
+        exchange.checkEndSentByTarget(response);
         return Optional.empty();
       } catch (IOException e) {
         throw exchange.failure(e);
