Require a key on every route that is not open, also when no key is left

Cause: RelayTable.hasKeys() took a configuration without any key for one that needs none. A protection was off where its list was empty.

That unknown keys are served too rules out an entry that holds an old configuration.

Entries go by the route alone, and hasKeys() is gone.

Why it works: nothing is inferred from the number of keys any more.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
@@ -90,13 +90,6 @@
     return Optional.ofNullable(organisationsByKeyDigest.get(digestOf(key)));
   }
 
-  /**
-   * Returns whether any organisation has a key, in which case routes that are not open require one.
-   */
-  public boolean hasKeys() {
-    return !organisationsByKeyDigest.isEmpty();
-  }
-
   public Optional<RelayLimits> limits() {
     return limits;
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayTableTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayTableTest.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -40,8 +39,7 @@
 
     assertEquals("wanjiru", table.organisation("key-of-wanjiru").orElseThrow().name());
     assertTrue(table.organisation("key-of-another").isEmpty());
-    assertTrue(table.hasKeys());
-    assertFalse(RelayTable.of(Configuration.empty()).hasKeys());
+    assertTrue(RelayTable.of(Configuration.empty()).organisation("key-of-wanjiru").isEmpty());
   }
 
   @Test
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -95,7 +95,7 @@
   private static Optional<Organisation> authenticate(
       RelayTable table, RelayRoute route, RelayRequest request) throws ServingException {
     Optional<Organisation> organisation = request.key().flatMap(table::organisation);
-    if (organisation.isEmpty() && table.hasKeys() && !route.open()) {
+    if (organisation.isEmpty() && !route.open()) {
       throw ServingErrors.unauthenticated("the key is missing or unknown");
     }
     return organisation;
