Collect an answer in one growing buffer, so that tiny pieces stall nobody

Cause: the pieces of an answer were collected in a composite buffer of 16 components, so that every 17th piece copied all that had come before.

On the code of before AnswerInTinyPiecesTest ends by its timeout of 20 s instead of by the bound, and ResponseWithoutEndTest with the new kind tiny-chunks takes 4,563 ms where 3,000 are allowed.

Change: TargetCall and BufferingHttpClient copy the pieces into one buffer that doubles as it grows.

Result: both tests pass.

Why it works: each byte is copied a bounded number of times, whatever the size of the pieces.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -111,7 +110,10 @@
     private final InetSocketAddress address;
     private final TargetConnection connection;
     private final CompletableFuture<Response> response;
-    private final CompositeByteBuf body = Unpooled.compositeBuffer();
+
+    /** Copied, since a response may come in as many pieces as it has bytes. */
+    private final ByteBuf body = Unpooled.buffer(0);
+
     private int status;
 
     ResponseCollector(
@@ -139,7 +141,7 @@
         connection.cancel();
         onFailure("the answer exceeds " + MAX_RESPONSE_BYTES + " bytes");
       } else if (!response.isDone()) {
-        body.addComponent(true, Unpooled.copiedBuffer(bytes));
+        body.writeBytes(bytes);
       }
     }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Instant;
@@ -29,7 +28,10 @@
   private final RelayTarget target;
   private final RelayLoadTable.InFlightRequest run;
   private final EventStreamDecoder eventDecoder = new EventStreamDecoder();
-  private final CompositeByteBuf body = Unpooled.compositeBuffer();
+
+  /** Copied, since a response may come in as many pieces as it has bytes. */
+  private final ByteBuf body = Unpooled.buffer(0);
+
   private final RelayPlacement.Choice choice;
   private Optional<FirstTokenEstimate> estimate = Optional.empty();
   private Optional<TargetConnection> connection = Optional.empty();
@@ -131,7 +133,7 @@
     } else if (body.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BYTES) {
       rejectResponse("the answer exceeds " + MAX_BUFFERED_BYTES + " bytes");
     } else {
-      body.addComponent(true, bytes.retain());
+      body.writeBytes(bytes);
     }
   }
 
