Go on when the pool of workers has no room for a task

What callers would see: changes refused or unanswered for good while all processes run. While a leader's disk is full, calls of operators and of leaving targets wait on the 64 workers of their process.

Cause: PeerLink.openConnection marked the link as connecting and then handed the work to the bounded pool. A full pool throws RejectedExecutionException: it left the mark, so that the link was never opened again, and it ended the sending thread, which may be the replica's; the process went on without its replica. WeightsRollout.startSwap left its mark in the same way, so that this leader never ordered that engine again (VERSION).

Evidence: PeerLinkTest on the code of before ends with RejectedExecutionException in send.

Change: a refused task takes its mark back and leaves the work to the next message after the pause, or to the next round of the rollout, with a log line.

Result: PeerLinkTest passes. WeightsRollout has no test of its own for it: its pool cannot be filled from outside yet.

Why it works: the mark stands only while a task that will take it back exists.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.control.ControlInstance;
@@ -160,16 +161,26 @@
             .with("model", named.model())
             .with("version", named.version())
             .with("term", leading.term()));
-    workers.execute(
-        () -> {
-          try {
-            swap(engine, named, leading);
-          } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-          } finally {
-            swapping.remove(key);
-          }
-        });
+    try {
+      workers.execute(() -> swapAndRelease(engine, named, leading, key));
+    } catch (RejectedExecutionException e) {
+      swapping.remove(key);
+      log.info(
+          Event.of("weights-swap-delayed")
+              .with("target", engine.id())
+              .with("cause", "every worker is busy"));
+    }
+  }
+
+  private void swapAndRelease(
+      Announcement engine, NamedWeights named, Leadership leading, String key) {
+    try {
+      swap(engine, named, leading);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      swapping.remove(key);
+    }
   }
 
   /** Orders, reads back and orders again until the engine holds the weights. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLink.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLink.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.PeerMessage;
 
@@ -60,11 +61,20 @@
     if (!isConnecting && !isClosed && !now.isBefore(nextAttempt)) {
       isConnecting = true;
       nextAttempt = now.plus(RECONNECT_PAUSE);
-      workers.execute(this::connect);
+      startConnecting();
     }
     return Optional.empty();
   }
 
+  /** While every worker is busy the connection is left to the next message after the pause. */
+  private void startConnecting() {
+    try {
+      workers.execute(this::connect);
+    } catch (RejectedExecutionException e) {
+      isConnecting = false;
+    }
+  }
+
   private void connect() {
     Optional<PeerConnection> opened = Optional.empty();
     try {
