End the process when its replica ended by an error

Cause: an error on the replica's thread was logged and ended that thread alone. The process went on, answered its peers' connections and was restarted by nobody.

Evidence and result: ReplicaRunnerTest.should_report_the_error_that_ended_it (the method is new, so it does not compile on the code of before).

Why it works: a restart is the one recovery that everything else here already relies on.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlInstance.java
@@ -48,6 +48,12 @@
   /** Returns this instance's leadership as of {@code now}; empty while it does not lead. */
   Optional<Leadership> leadership(Instant now);
 
+  /**
+   * Completes with the cause if the replica ended by an error. It then neither answers nor takes
+   * part in its group until the process is started again.
+   */
+  CompletableFuture<Throwable> failure();
+
   /** Returns whether the replica's log holds any entry. */
   boolean isInitialised();
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -74,6 +74,7 @@
   private final BlockingQueue<Runnable> inputs = new LinkedBlockingQueue<>(MAX_QUEUED_INPUTS);
   private final Set<QueuedCall> queuedCalls = ConcurrentHashMap.newKeySet();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+  private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private final Thread thread;
 
   private volatile StoreReader storeReader = StoreReader.none();
@@ -216,6 +217,11 @@
             : Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Throwable> failure() {
+    return failure;
+  }
+
   @Override
   public boolean isInitialised() {
     return isInitialised;
@@ -245,7 +251,7 @@
       Thread.currentThread().interrupt();
     } catch (RuntimeException | Error e) {
       log.warn(Event.of("replica-failed").with("replica", options.name()).with("cause", e));
-      throw e;
+      failure.complete(e);
     } finally {
       isStopping = true;
       pendingCalls.failAll();
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -187,6 +187,18 @@
     assertEquals(0, answers.stream().filter(answer -> !answer.isDone()).count());
   }
 
+  /** Guards against a process that goes on without its replica, so that nobody restarts it. */
+  @Test
+  void should_report_the_error_that_ended_it() throws Exception {
+    publishUntilLeading(0, "first");
+    storage.isBroken = true;
+    var unused = publish(1, "second");
+
+    Throwable cause = runner.failure().get(30, SECONDS);
+
+    assertEquals("broken", cause.getMessage());
+  }
+
   private ReplicaRunner start() {
     Instant now = Instant.now();
     RaftInitialState start =
@@ -231,10 +243,14 @@
     private volatile Optional<RaftSnapshot> snapshot = Optional.empty();
     private volatile boolean isFull;
     private volatile int failures;
+    private volatile boolean isBroken;
 
     @Override
     public synchronized void append(Optional<HardState> hardState, List<LogEntry> appended)
         throws StorageException {
+      if (isBroken) {
+        throw new IllegalStateException("broken");
+      }
       if (failures > 0) {
         failures = failures - 1;
         throw new StorageException("no space left on device");
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/daemon/GeraniumwharfDaemon.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/daemon/GeraniumwharfDaemon.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.internal.daemon.DaemonModule;
 import org.geraniumwharf.internal.daemon.DaemonRuntime;
 import org.geraniumwharf.internal.daemon.DaggerDaemonComponent;
+import org.geraniumwharf.internal.daemon.ProcessEnd;
 import org.geraniumwharf.internal.daemon.TerminationSignals;
 import org.geraniumwharf.internal.logging.EventHistory;
 import org.geraniumwharf.internal.logging.Log4jEventLog;
@@ -107,6 +108,7 @@
             }
             stop.countDown();
           });
+      var unused = runtime.failure().thenAccept(ProcessEnd::afterFailure);
       runtime.start();
       stop.await();
       return runtime.shutdown() == 0 ? SUCCESS : FAILURE;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -101,6 +102,14 @@
     this.clock = clock;
   }
 
+  /**
+   * Completes with the cause if a part without which the process is of no use ended by an error.
+   * The process must then end, so that it is started again.
+   */
+  public CompletableFuture<Throwable> failure() {
+    return localControl.failure();
+  }
+
   /**
    * Starts every part; returns once both edges listen.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
@@ -6,6 +6,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.control.ControlException;
 import org.geraniumwharf.control.ControlInstance;
@@ -27,6 +28,12 @@
 
   private volatile Optional<ControlInstances.OpenedControl> opened = Optional.empty();
   private volatile Optional<ControlInstance> instance = Optional.empty();
+  private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
+
+  /** Completes with the cause if the control instance ended by an error. */
+  CompletableFuture<Throwable> failure() {
+    return failure;
+  }
 
   /** Tells other daemons whether the local replica holds any log entry. */
   boolean isInitialised() {
@@ -53,6 +60,7 @@
     ControlInstance started =
         control.start((to, message) -> links.send(to, (PeerMessage) message), clock, isReplacing);
     instance = Optional.of(started);
+    var unused = started.failure().thenAccept(failure::complete);
     return started;
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -93,6 +93,7 @@
   private final LoggedQuarantine quarantine;
   private final KnownStores stores;
   private final FleetMembership membership;
+  private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
 
@@ -200,6 +201,14 @@
             .with("seeds", settings.seeds()));
   }
 
+  /**
+   * Completes with the cause if a part without which the process is of no use ended by an error.
+   * The process must then end, so that it is started again.
+   */
+  public CompletableFuture<Throwable> failure() {
+    return failure;
+  }
+
   private void startControl(PeerService peers) throws ControlException, InterruptedException {
     Path folder = settings.dataFolder().orElseThrow();
     ControlInstances.OpenedControl opened = ControlInstances.open(options(folder), log);
@@ -209,6 +218,7 @@
     ControlInstance started =
         control.start((to, message) -> links.send(to, (PeerMessage) message), clock, isJoining);
     instance = Optional.of(started);
+    var unusedFailure = started.failure().thenAccept(failure::complete);
     peers.control(started);
     membership.local(started);
     DaemonThreads.start(
