--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -407,7 +407,7 @@
       core.compactTo(index);
       log.info(Event.of("snapshot-saved").with("index", index).with("bytes", data.length));
     } catch (StorageException e) {
-      snapshots.recordSaved(index, data.length);
+      snapshots.recordFailed(index);
       log.warn(Event.of("snapshot-failed").with("index", index).with("cause", e.getMessage()));
     }
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/SnapshotSchedule.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/SnapshotSchedule.java
@@ -44,6 +44,12 @@
             || appliedBytes >= Math.max(minBytes, snapshotBytes));
   }
 
+  /** Records that no snapshot could be saved; the next is due after as much has been applied. */
+  void recordFailed(long index) {
+    snapshotIndex = index;
+    appliedBytes = 0;
+  }
+
   /** Records that a snapshot was saved here or received from the leader. */
   void recordSaved(long index, long bytes) {
     snapshotIndex = index;
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
@@ -23,16 +23,23 @@
   private static final String NEW_LOG_NAME = "log.new";
 
   private final DataFolder folder;
+  private final FolderSync folderSync;
   private FileChannel logChannel;
+
+  /** Whether a loss of power leaves the folder with the name of the log that is in use. */
+  private boolean isLogNameDurable = true;
+
   private long validBytes;
   private Optional<RaftSnapshot> latestSnapshot;
 
   private FileReplicaStorage(
       DataFolder folder,
+      FolderSync folderSync,
       FileChannel logChannel,
       long validBytes,
       Optional<RaftSnapshot> latestSnapshot) {
     this.folder = folder;
+    this.folderSync = folderSync;
     this.logChannel = logChannel;
     this.validBytes = validBytes;
     this.latestSnapshot = latestSnapshot;
@@ -48,6 +55,10 @@
    *     damaged; a damaged instance must be rebuilt from the others
    */
   public static OpenResult open(DataFolder folder) throws StorageException {
+    return open(folder, DataFolder::syncFolder);
+  }
+
+  static OpenResult open(DataFolder folder, FolderSync folderSync) throws StorageException {
     Path file = folder.path().resolve(LOG_NAME);
     try {
       Optional<RaftSnapshot> snapshot = SnapshotFile.read(folder.path());
@@ -59,9 +70,9 @@
       channel.truncate(replay.validBytes());
       channel.position(replay.validBytes());
       channel.force(true);
-      DataFolder.syncFolder(folder.path());
+      folderSync.sync(folder.path());
       FileReplicaStorage storage =
-          new FileReplicaStorage(folder, channel, replay.validBytes(), snapshot);
+          new FileReplicaStorage(folder, folderSync, channel, replay.validBytes(), snapshot);
       RecoveredState recovered =
           new RecoveredState(
               replay.hardState(),
@@ -79,6 +90,7 @@
   public void append(Optional<HardState> hardState, List<LogEntry> entries)
       throws StorageException {
     try {
+      syncLogName();
       logChannel.truncate(validBytes);
       logChannel.position(validBytes);
       long written = writeRecords(logChannel, hardState, entries);
@@ -92,29 +104,54 @@
   @Override
   public void saveSnapshot(RaftSnapshot snapshot, HardState hardState, List<LogEntry> retained)
       throws StorageException {
-    Path newLog = folder.path().resolve(NEW_LOG_NAME);
     try {
-      SnapshotFile.write(folder.path(), snapshot);
+      SnapshotFile.write(folder.path(), snapshot, folderSync);
       latestSnapshot = Optional.of(snapshot);
-      FileChannel channel =
-          FileChannel.open(
-              newLog,
-              StandardOpenOption.CREATE,
-              StandardOpenOption.WRITE,
-              StandardOpenOption.TRUNCATE_EXISTING);
-      long written = writeRecords(channel, Optional.of(hardState), retained);
+      replaceLog(hardState, retained);
+      syncLogName();
+    } catch (IOException e) {
+      throw new StorageException("cannot save a snapshot: " + e, e);
+    }
+  }
+
+  /**
+   * Writes a new log and moves it into place. From the move on it is the log in use, whatever fails
+   * later: the file of the one before has no name any more.
+   */
+  private void replaceLog(HardState hardState, List<LogEntry> retained) throws IOException {
+    Path newLog = folder.path().resolve(NEW_LOG_NAME);
+    FileChannel channel =
+        FileChannel.open(
+            newLog,
+            StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE,
+            StandardOpenOption.TRUNCATE_EXISTING);
+    long written;
+    try {
+      written = writeRecords(channel, Optional.of(hardState), retained);
       channel.force(true);
       Files.move(
           newLog,
           folder.path().resolve(LOG_NAME),
           StandardCopyOption.ATOMIC_MOVE,
           StandardCopyOption.REPLACE_EXISTING);
-      DataFolder.syncFolder(folder.path());
-      logChannel.close();
-      logChannel = channel;
-      validBytes = written;
     } catch (IOException e) {
-      throw new StorageException("cannot save a snapshot: " + e, e);
+      channel.close();
+      Files.deleteIfExists(newLog);
+      throw e;
+    }
+    FileChannel replaced = logChannel;
+    logChannel = channel;
+    validBytes = written;
+    isLogNameDurable = false;
+    replaced.close();
+  }
+
+  /** Must succeed before anything in the log in use counts as durable. */
+  private void syncLogName() throws IOException {
+    if (!isLogNameDurable) {
+      folderSync.sync(folder.path());
+      isLogNameDurable = true;
     }
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/ReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/ReplicaStorage.java
@@ -23,7 +23,8 @@
    *
    * @param hardState newest hard state, which is copied to the new log
    * @param retained entries after the snapshot
-   * @throws StorageException if saving failed; the previous log remains in use
+   * @throws StorageException if saving failed; what was durable before still is, and the call may
+   *     be repeated
    */
   void saveSnapshot(RaftSnapshot snapshot, HardState hardState, List<LogEntry> retained)
       throws StorageException;
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
@@ -40,8 +40,28 @@
     }
   }
 
-  static void write(Path folder, RaftSnapshot snapshot) throws IOException {
+  /**
+   * Makes a snapshot durable in place of the one before.
+   *
+   * @throws IOException if that failed; the folder holds one of the two
+   */
+  static void write(Path folder, RaftSnapshot snapshot, FolderSync folderSync) throws IOException {
     Path temporary = folder.resolve(TEMPORARY_NAME);
+    try {
+      writeTemporary(temporary, snapshot);
+      Files.move(
+          temporary,
+          folder.resolve(NAME),
+          StandardCopyOption.ATOMIC_MOVE,
+          StandardCopyOption.REPLACE_EXISTING);
+    } catch (IOException e) {
+      Files.deleteIfExists(temporary);
+      throw e;
+    }
+    folderSync.sync(folder);
+  }
+
+  private static void writeTemporary(Path temporary, RaftSnapshot snapshot) throws IOException {
     try (FileChannel channel =
         FileChannel.open(
             temporary,
@@ -51,11 +71,5 @@
       var unused = RecordFormat.write(channel, snapshot.data());
       channel.force(true);
     }
-    Files.move(
-        temporary,
-        folder.resolve(NAME),
-        StandardCopyOption.ATOMIC_MOVE,
-        StandardCopyOption.REPLACE_EXISTING);
-    DataFolder.syncFolder(folder);
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import org.geraniumwharf.internal.raft.RaftSnapshot;
 import org.geraniumwharf.internal.state.ControlState;
@@ -27,6 +28,9 @@
   private static final HardState TERM_2 = HardState.of(2, Optional.of("c-1"), 0, false);
   private static final Membership MEMBERS = Membership.of(List.of("c-1"), List.of());
 
+  /** Number of the folder's sync behind the new log: after the opening and the snapshot. */
+  private static final int LOG_NAME_SYNC = 3;
+
   @TempDir private Path folder;
 
   @Test
@@ -79,13 +83,10 @@
 
   @Test
   void should_start_from_a_snapshot_and_the_entries_after_it() throws StorageException {
-    ControlState state = ControlState.empty();
-    state.skipEntry(4);
-    byte[] data = Codec.messagePack().encode(state.snapshot(1, MEMBERS));
     write(
         storage -> {
           storage.append(Optional.of(TERM_2), entries(1, 6, 1));
-          storage.saveSnapshot(RaftSnapshot.of(4, 1, MEMBERS, data), TERM_2, entries(5, 6, 1));
+          storage.saveSnapshot(snapshot(4), TERM_2, entries(5, 6, 1));
           storage.append(Optional.empty(), entries(7, 7, 1));
         });
 
@@ -99,17 +100,74 @@
   @Test
   void should_survive_a_crash_between_the_snapshot_and_its_log()
       throws StorageException, IOException {
-    ControlState state = ControlState.empty();
-    state.skipEntry(4);
-    byte[] data = Codec.messagePack().encode(state.snapshot(1, MEMBERS));
     write(storage -> storage.append(Optional.of(TERM_2), entries(1, 6, 1)));
-    SnapshotFile.write(folder, RaftSnapshot.of(4, 1, MEMBERS, data));
+    SnapshotFile.write(folder, snapshot(4), DataFolder::syncFolder);
 
     List<Long> indexes = reopen().entries().stream().map(LogEntry::index).toList();
 
     assertEquals(List.of(5L, 6L), indexes);
   }
 
+  /**
+   * Guards against entries that are acknowledged into a file without a name: the new log was moved
+   * into place, but the sync of the folder failed on a faulty disk.
+   */
+  @Test
+  void should_keep_what_is_appended_after_a_new_log_was_moved_and_its_name_not_synced()
+      throws StorageException {
+    AtomicInteger syncs = new AtomicInteger();
+    try (DataFolder data = DataFolder.open(folder)) {
+      FileReplicaStorage storage =
+          FileReplicaStorage.open(data, path -> failAt(LOG_NAME_SYNC, syncs)).storage();
+      storage.append(Optional.of(TERM_2), entries(1, 6, 1));
+
+      assertThrows(
+          StorageException.class,
+          () -> storage.saveSnapshot(snapshot(4), TERM_2, entries(5, 6, 1)));
+      storage.append(Optional.empty(), entries(7, 7, 1));
+      storage.close();
+    }
+
+    RecoveredState recovered = reopen();
+
+    assertEquals(List.of(5L, 6L, 7L), recovered.entries().stream().map(LogEntry::index).toList());
+    assertEquals(TERM_2, recovered.hardState());
+    assertEquals(LOG_NAME_SYNC + 1, syncs.get(), "the name was not synced before the append");
+  }
+
+  private static void failAt(int number, AtomicInteger syncs) throws IOException {
+    if (syncs.incrementAndGet() == number) {
+      throw new IOException("input/output error");
+    }
+  }
+
+  /** Guards against files of failed attempts that take the room of the disk. */
+  @Test
+  void should_leave_no_file_of_a_snapshot_that_could_not_be_saved()
+      throws StorageException, IOException {
+    try (DataFolder data = DataFolder.open(folder);
+        FileReplicaStorage storage = FileReplicaStorage.open(data).storage()) {
+      Files.createDirectories(folder.resolve("snapshot").resolve("no file"));
+      storage.append(Optional.of(TERM_2), entries(1, 6, 1));
+      assertThrows(
+          StorageException.class,
+          () -> storage.saveSnapshot(snapshot(4), TERM_2, entries(5, 6, 1)));
+      storage.append(Optional.empty(), entries(7, 7, 1));
+    }
+    Files.delete(folder.resolve("snapshot").resolve("no file"));
+    Files.delete(folder.resolve("snapshot"));
+
+    assertEquals(7, reopen().entries().size());
+    assertEquals(false, Files.exists(folder.resolve("snapshot.new")));
+  }
+
+  private static RaftSnapshot snapshot(long index) {
+    ControlState state = ControlState.empty();
+    state.skipEntry(index);
+    return RaftSnapshot.of(
+        index, 1, MEMBERS, Codec.messagePack().encode(state.snapshot(1, MEMBERS)));
+  }
+
   @Test
   void should_reject_a_second_lock_on_the_data_folder() throws StorageException {
     try (DataFolder first = DataFolder.open(folder)) {
