Let a drain meet only connections that are complete

What callers would see: requests left at the end of a stop's grace time get no answer, and the process stays until it is killed.

Cause: RelayServer.accept put a connection into the set that the drain goes through before the connection had its context. A NullPointerException ended the draining thread, on the platform the main thread.

Evidence: DrainWhileAcceptingTest, four callers that connect without a pause while another thread drains, on the code of before: NullPointerException in CallerConnection within 0.9 s.

Change: a connection enters the set behind its pipeline.

Result: DrainWhileAcceptingTest passes.

Why it works: the set publishes a connection to other threads, and now does so after everything they use is there.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/GroupJoiner.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/GroupJoiner.java
@@ -63,6 +63,8 @@
               .with("learners", answer.membership().learners()));
     } catch (ServingException e) {
       log.info(Event.of("group-not-joined").with("cause", e.getMessage()));
+    } catch (RuntimeException e) {
+      log.warn(Event.of("group-not-joined").with("cause", e));
     }
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -68,8 +68,6 @@
             loopLag,
             () -> drainingSince,
             limits.maxHeaderBytes());
-    connections.add(connection);
-    channel.closeFuture().addListener(closed -> connections.remove(connection));
     HeadTimeoutHandler headTimeout =
         new HeadTimeoutHandler(Duration.ofMillis(limits.headerTimeoutMillis()), relay.log());
     long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
@@ -83,6 +81,9 @@
         .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
         .addLast(abandonedRequests)
         .addLast(connection);
+    // Other threads call the connections of the set, which need the pipeline.
+    connections.add(connection);
+    channel.closeFuture().addListener(closed -> connections.remove(connection));
   }
 
   private RequestStarter requestStarter(Channel channel) {
