Wait for the other reports of a crash before a shared part is quarantined

What callers would see: every request that shares the leading part of a prompt is refused for ten minutes, after three crashes that another part caused.

Cause: the requests under way at a crash are recorded one by one. Where one without the cause is the first at the third crash, the part that all share is at the limit of three while the cause is still at two, and is quarantined. Every request is then refused, so that no complete answer can release it.

CrashLedgerTest.should_wait_for_the_request_with_the_cause_when_one_without_it_is _reported_first replays it; on the code of before it quarantines the shared part.

Change: a part at the limit waits if a deeper part of other requests had all of its earlier crashes, for one further crash at most.

Why it works: the cause has every crash of the shared part but the one whose report is still to come.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
@@ -61,7 +61,7 @@
     }
     boolean isExplained =
         quarantined.values().stream().anyMatch(held -> held.crashes.contains(crash));
-    return isExplained ? List.of() : quarantineMostLikely(evidence.parts(), now);
+    return isExplained ? List.of() : quarantineMostLikely(evidence.parts(), crash, now);
   }
 
   private Stream<Suspicion> findQuarantined(String part) {
@@ -88,12 +88,16 @@
    * Quarantines the part with the most crashes if they suffice. Of several, the deepest one in the
    * prompt is quarantined: the leading parts are shared by more requests, which can still prove
    * them sound.
+   *
+   * @param newest crash that was recorded last
    */
-  private List<QuarantineChange> quarantineMostLikely(List<String> parts, Instant now) {
+  private List<QuarantineChange> quarantineMostLikely(
+      List<String> parts, Crash newest, Instant now) {
     Optional<String> mostLikely =
         parts.stream()
             .distinct()
             .filter(part -> crashes(part) >= QUARANTINE_CRASHES)
+            .filter(part -> !mayBeExplainedByDeeperPart(part, newest, parts))
             .max(
                 Comparator.<String>comparingInt(this::crashes)
                     .thenComparingInt(part -> suspected.get(part).depth));
@@ -109,6 +113,21 @@
             part, suspicion.crashes.size(), "targets crashed under it, last at " + now));
   }
 
+  /**
+   * Returns whether a deeper part of other requests had all crashes of a part but the newest one.
+   * The requests under way at one crash are reported one by one, so the request with the deeper
+   * part may only be reported later. If it is not, the part is quarantined at its next crash.
+   */
+  private boolean mayBeExplainedByDeeperPart(String part, Crash newest, List<String> reported) {
+    Suspicion suspicion = suspected.get(part);
+    Set<Crash> earlier = new HashSet<>(suspicion.crashes);
+    earlier.remove(newest);
+    return suspected.entrySet().stream()
+        .filter(other -> !reported.contains(other.getKey()))
+        .map(Map.Entry::getValue)
+        .anyMatch(other -> other.depth > suspicion.depth && other.crashes.containsAll(earlier));
+  }
+
   /** Records a complete answer to a request with a part, which clears and releases the part. */
   public List<QuarantineChange> recordSound(String part) {
     suspected.remove(part);
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
@@ -91,6 +91,31 @@
     assertEquals(List.of("under-way", "bad"), ledger.quarantinedParts());
   }
 
+  // A part that all requests share must not be quarantined for good because a request without the
+  // cause is the first whose end at the third crash is reported.
+  @Test
+  void should_wait_for_the_request_with_the_cause_when_one_without_it_is_reported_first() {
+    crash(1, "first", "a", "bad");
+    crash(2, "first", "b", "bad");
+
+    List<QuarantineChange> early = crash(3, "first", "c");
+    crash(3, "first", "d", "bad");
+
+    assertEquals(List.of(), early);
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+  }
+
+  @Test
+  void should_not_wait_longer_than_one_crash_for_a_request_with_a_deeper_part() {
+    crash(1, "first", "a", "under-way");
+    crash(2, "first", "b", "under-way");
+    crash(3, "first", "c");
+
+    crash(4, "first", "d");
+
+    assertEquals(List.of("first"), ledger.quarantinedParts());
+  }
+
   @Test
   void should_quarantine_the_deepest_of_parts_with_the_same_crashes() {
     crash(1, "first", "bad", "a");
