Log which version decided a request and whose answer it got

The lines of these requests said neither by which version they were decided nor whether the entry was in touch then, and nothing of what the target had answered over which connection. The kind of a refusal stood at the end of the line, which the record cuts.

Change: relay-end starts with request, outcome, status, kind, version and viewAgeMillis; of the target it has status, receipt, and the age and the number of earlier responses of the connection. Existing keys stay.

Why it tells the hypotheses apart: a refusal by an old version with a small viewAgeMillis is a view wrongly taken for new, one with a large age an entry out of touch; a mixed answer after earlierResponses above 0 with sends=1 comes from the connection, not from a repeat.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
 import org.geraniumwharf.schema.messages.ControlAnswer;
@@ -37,6 +38,14 @@
     return freshAt;
   }
 
+  /** Returns the time since the view was last confirmed to be the newest; empty if it never was. */
+  public Optional<Duration> sinceConfirmed(Instant now) {
+    Instant confirmed = freshAt;
+    return confirmed.equals(Instant.MIN)
+        ? Optional.empty()
+        : Optional.of(Duration.between(confirmed, now));
+  }
+
   /**
    * Calls a listener with the old and the new view after each change. A listener that fails keeps
    * neither the view nor the other listeners from the change.
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
@@ -15,12 +15,40 @@
 final class ExchangeLog {
 
   private static final long NEVER = -1;
+  private static final String NONE = "none";
 
   private ExchangeLog() {}
 
+  /**
+   * View by which a request was admitted or refused.
+   *
+   * @param version version of the configuration
+   * @param index index of the view
+   * @param sinceConfirmed time since the view was last confirmed then; empty if it never was
+   */
+  record DecidedBy(long version, long index, Optional<Duration> sinceConfirmed) {}
+
+  /**
+   * What the target that the request was last sent to gave as an answer.
+   *
+   * @param status status of its response; empty if no head of it came
+   * @param receipt receipt of the response
+   * @param earlierResponses responses that the connection had carried when the request was sent
+   * @param connectionAge age of the connection then
+   */
+  record TargetResult(
+      Optional<Integer> status,
+      Optional<String> receipt,
+      int earlierResponses,
+      Duration connectionAge) {}
+
   /**
    * Result of a request.
    *
+   * @param status status that the caller was given; empty if it was given none
+   * @param kind kind of the error that this instance answered with, or {@code none}
+   * @param decidedBy view by which the request was admitted or refused
+   * @param targetResult what the last target answered; empty if the request was sent to none
    * @param target id of the last target, or {@code none}
    * @param sendCount number of targets that the request was sent to
    * @param startedAt time when the request was read and started
@@ -32,7 +60,11 @@
    */
   record Result(
       String outcome,
+      Optional<Integer> status,
+      String kind,
+      DecidedBy decidedBy,
       String target,
+      Optional<TargetResult> targetResult,
       int sendCount,
       Instant startedAt,
       Optional<Instant> sentAt,
@@ -68,7 +100,10 @@
                 .with("view", relay.admission().routing().view().index()));
   }
 
-  /** Logs how a request ended; a request that was not admitted has not been resolved. */
+  /**
+   * Logs how a request ended; a request that was not admitted has not been resolved. What tells
+   * most comes first, since lines are often cut.
+   */
   static void logEnd(
       EventLog log,
       RelayRequest request,
@@ -78,22 +113,43 @@
     log.info(
         Event.of("relay-end")
             .with("request", request.id())
-            .with("route", resolved.map(admitted -> admitted.route().name()).orElse("none"))
             .with("outcome", result.outcome())
+            .with("status", orNever(result.status()))
+            .with("kind", result.kind())
+            .with("version", result.decidedBy().version())
+            .with("viewAgeMillis", millis(result.decidedBy().sinceConfirmed()))
+            .with("route", resolved.map(admitted -> admitted.route().name()).orElse(NONE))
             .with("target", result.target())
             .with("sends", result.sendCount())
+            .with("targetStatus", orNever(result.targetResult().flatMap(TargetResult::status)))
+            .with("receipt", result.targetResult().flatMap(TargetResult::receipt).orElse(NONE))
+            .with(
+                "earlierResponses",
+                orNever(result.targetResult().map(TargetResult::earlierResponses)))
+            .with(
+                "targetConnectionMillis",
+                millis(result.targetResult().map(TargetResult::connectionAge)))
+            .with("view", result.decidedBy().index())
             .with("lagMillis", millisBetween(request.arrivedAt(), result.startedAt()))
             .with("sentMillis", millisFromArrival(request, result.sentAt()))
             .with("firstByteMillis", millisFromArrival(request, result.firstByteAt()))
             .with("millis", millisBetween(request.arrivedAt(), now))
             .with("connectionMillis", result.connectionAge().toMillis())
-            .with("drainingMillis", result.drainingFor().map(Duration::toMillis).orElse(NEVER))
+            .with("drainingMillis", millis(result.drainingFor()))
             .with("cause", result.cause()));
   }
 
+  private static long orNever(Optional<Integer> value) {
+    return value.map(Integer::longValue).orElse(NEVER);
+  }
+
+  private static long millis(Optional<Duration> duration) {
+    return duration.map(Duration::toMillis).orElse(NEVER);
+  }
+
   private static String contextId(ResolvedRequest resolved) {
     List<PromptPart> shared = resolved.sharedParts();
-    return shared.isEmpty() ? "none" : shared.get(shared.size() - 1).id();
+    return shared.isEmpty() ? NONE : shared.get(shared.size() - 1).id();
   }
 
   private static long millisFromArrival(RelayRequest request, Optional<Instant> at) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -32,11 +32,13 @@
    */
   private static final Duration LEAVING_RETRY_AFTER = Duration.ofSeconds(1);
 
+  private final FleetViewHolder holder;
   private final Readiness readiness;
   private final EventLog log;
   private volatile RoutingSnapshot routing;
 
   private RelayAdmission(FleetViewHolder holder, Readiness readiness, EventLog log) {
+    this.holder = holder;
     this.readiness = readiness;
     this.log = log;
     this.routing = RoutingSnapshot.of(holder.current(), Optional.empty());
@@ -65,12 +67,17 @@
     return routing;
   }
 
+  /** Returns the time since the view was last confirmed; empty if it never was. */
+  Optional<Duration> sinceViewConfirmed(Instant now) {
+    return holder.sinceConfirmed(now);
+  }
+
   /**
-   * Resolves a request against the configuration in force.
+   * Checks that this instance may take requests now.
    *
    * @throws ServingException if the request must be rejected; no target has executed it
    */
-  ResolvedRequest admit(RelayRequest request, Instant now) throws ServingException {
+  void checkReady(RelayRequest request, Instant now) throws ServingException {
     try {
       readiness.check(now);
       if (routing.view().configuration().version() == 0) {
@@ -81,7 +88,16 @@
       Duration remaining = request.callerTimeout().orElse(expected);
       throw e.withRetryAfter(RetryAfter.jitteredDelay(request.id(), expected, remaining));
     }
-    RelayTable table = routing.table();
+  }
+
+  /**
+   * Resolves a request against the configuration of a snapshot.
+   *
+   * @throws ServingException if the request must be rejected; no target has executed it
+   */
+  static ResolvedRequest resolve(RelayRequest request, RoutingSnapshot decidedBy)
+      throws ServingException {
+    RelayTable table = decidedBy.table();
     RelayRoute route =
         table
             .route(request.host(), request.path())
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -52,18 +52,35 @@
   private final RelayRequest parsedRequest;
   private final Set<String> triedTargets = new HashSet<>();
   private ResolvedRequest request;
+  private RoutingSnapshot routing;
+  private Optional<Duration> sinceViewConfirmed = Optional.empty();
   private int sendCount;
   private boolean isDone;
   private boolean isResponseStarted;
   private boolean mayHaveExecuted;
   private Optional<String> lastEventId = Optional.empty();
   private Optional<TargetCall> call = Optional.empty();
+  private Optional<SentCall> lastSent = Optional.empty();
   private Optional<RelayQueue.Entry<RelayExchange>> queueEntry = Optional.empty();
   private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
   private Instant startedAt = Instant.MIN;
   private Optional<Duration> drainingFor = Optional.empty();
   private Optional<Instant> sentAt = Optional.empty();
   private Optional<Instant> firstByteAt = Optional.empty();
+  private Optional<Integer> status = Optional.empty();
+  private String errorKind = "none";
+
+  /** A call as it was when it was sent over a connection. */
+  private record SentCall(TargetCall call, int earlierResponses, Duration connectionAge) {
+
+    private ExchangeLog.TargetResult result(RelayProtocol protocol) {
+      return new ExchangeLog.TargetResult(
+          call.head().map(head -> head.status().code()),
+          call.head().flatMap(head -> protocol.receipt(head.headers())),
+          earlierResponses,
+          connectionAge);
+    }
+  }
 
   RelayExchange(
       RelayState relay,
@@ -92,10 +109,14 @@
     Instant now = relay.now();
     startedAt = now;
     drainingFor = caller.drainingFor(now);
+    routing = relay.admission().routing();
+    sinceViewConfirmed = relay.admission().sinceViewConfirmed(now);
     relay.inFlight().incrementAndGet();
     relay.metrics().requestArrived();
     try {
-      request = relay.admission().admit(parsedRequest, now);
+      relay.admission().checkReady(parsedRequest, now);
+      routing = relay.admission().routing();
+      request = RelayAdmission.resolve(parsedRequest, routing);
     } catch (ServingException e) {
       reject(e);
       return;
@@ -251,6 +272,8 @@
     }
     sendCount++;
     sentAt = Optional.of(now);
+    lastSent =
+        Optional.of(new SentCall(next, connection.completedResponses(), connection.age(now)));
     CacheTransfers transfers = relay.planTransfers(request, next.target());
     next.sent(connection, transfers, now);
     RelayProtocol.ForwardedRequest forwarded =
@@ -431,6 +454,7 @@
     if (!isResponseStarted) {
       isResponseStarted = true;
       firstByteAt = Optional.of(relay.now());
+      status = Optional.of(head.status().code());
       relay.metrics().firstToken(Duration.between(parsedRequest.arrivedAt(), relay.now()));
       caller.startResponse(head.status(), relay.protocol().callerHeaders(head.headers()));
     }
@@ -524,6 +548,7 @@
   private void finishWithResponse(
       HttpResponse head, ByteBuf body, String outcome, TargetCall endedCall) {
     firstByteAt = Optional.of(relay.now());
+    status = Optional.of(head.status().code());
     finish(outcome, endedCall.target().id(), "status " + head.status().code());
     caller.writeResponse(head.status(), relay.protocol().callerHeaders(head.headers()), body);
   }
@@ -548,8 +573,10 @@
 
   private void finishWithError(ServingException error, String outcome) {
     relay.metrics().requestFailed(error.kind());
+    status = Optional.of(error.kind().httpStatus());
+    errorKind = error.kind().wireName();
     String target = call.map(current -> current.target().id()).orElse("none");
-    finish(outcome, target, error.kind().wireName() + ": " + error.getMessage());
+    finish(outcome, target, errorKind + ": " + error.getMessage());
     caller.writeError(parsedRequest, error);
   }
 
@@ -575,7 +602,11 @@
     ExchangeLog.Result result =
         new ExchangeLog.Result(
             outcome,
+            status,
+            errorKind,
+            decidedBy(),
             target,
+            lastSent.map(sent -> sent.result(relay.protocol())),
             sendCount,
             startedAt,
             sentAt,
@@ -586,6 +617,11 @@
     ExchangeLog.logEnd(relay.log(), parsedRequest, Optional.ofNullable(request), result, now);
   }
 
+  private ExchangeLog.DecidedBy decidedBy() {
+    return new ExchangeLog.DecidedBy(
+        routing.view().configuration().version(), routing.view().index(), sinceViewConfirmed);
+  }
+
   private void leaveQueueIfAdmitted() {
     if (request != null) {
       leaveQueue();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayProtocol.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayProtocol.java
@@ -45,6 +45,9 @@
   /** Parses the head of a target's response. */
   TargetResponse readResponse(HttpResponse head);
 
+  /** Returns the receipt that a target gave for the execution of a request. */
+  Optional<String> receipt(HttpHeaders fromTarget);
+
   /** Returns the headers with which a target's response is forwarded to the caller. */
   HttpHeaders callerHeaders(HttpHeaders fromTarget);
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -76,6 +76,11 @@
     return connection.isPresent();
   }
 
+  /** Returns the head of the response to the request; empty if none has come. */
+  Optional<HttpResponse> head() {
+    return head;
+  }
+
   /** Returns the number of complete events of the stream that were received. */
   int eventCount() {
     return eventCount;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -51,6 +51,7 @@
   private final Channel channel;
   private final RelayProtocol protocol;
   private final InstantSource clock;
+  private final Instant openedAt;
   private Optional<ResponseListener> listener = Optional.empty();
   private String requestId = "";
   private ChannelFuture requestWrite;
@@ -63,6 +64,7 @@
   private boolean isReset;
   private int uselessBytes;
   private int interimResponses;
+  private int completedResponses;
 
   /**
    * Receives the response to the request in flight. No method is called after {@link #onComplete}
@@ -93,6 +95,16 @@
     this.channel = channel;
     this.protocol = protocol;
     this.clock = clock;
+    this.openedAt = clock.instant();
+  }
+
+  /** Returns the number of responses that were received completely over the connection. */
+  int completedResponses() {
+    return completedResponses;
+  }
+
+  Duration age(Instant now) {
+    return Duration.between(openedAt, now);
   }
 
   /** Returns the handler to be placed before the HTTP codec, which bounds the bytes received. */
@@ -258,6 +270,7 @@
     Optional<ResponseListener> completed = listener;
     listener = Optional.empty();
     isHeadReceived = false;
+    completedResponses++;
     if (!requestWrite.isDone()) {
       isReusable = false;
     }
