Log where a configuration came from and who acknowledged it

Change: configuration-applied has from, ageMillis and unconfirmedMillis; publish has the instance that acknowledged, how long that took, and the version and index that this instance had applied by then. One line in ViewWatcher names the instance that is watched.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
@@ -18,6 +18,7 @@
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.ViewReports;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.operator.OperatorEdge;
 import org.geraniumwharf.internal.serving.AdmissionGate;
@@ -125,7 +126,7 @@
     PeerService peers =
         PeerService.start(network, ControlDirectory.parseAddress(settings.listen().peer()), log);
     fleet.onChange(this::forgetRestarted);
-    fleet.onChange(this::logConfiguration);
+    ViewReports.logConfigurations(fleet, log);
     registerGauges();
     servers.add(operatorEdge.start(ControlDirectory.parseAddress(settings.listen().operator())));
     if (settings.daemon().roles().contains("entry")) {
@@ -163,15 +164,6 @@
     metrics.gauge("ready", () -> membership.readiness().isReady(clock.instant()) ? 1 : 0);
   }
 
-  private void logConfiguration(FleetSnapshot before, FleetSnapshot after) {
-    if (before.configuration().version() != after.configuration().version()) {
-      log.info(
-          Event.of("configuration-applied")
-              .with("version", after.configuration().version())
-              .with("index", after.index()));
-    }
-  }
-
   /** What was observed of an earlier incarnation says nothing of the next. */
   private void forgetRestarted(FleetSnapshot before, FleetSnapshot after) {
     for (TargetRecord record : after.targets()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -22,6 +22,8 @@
       new CopyOnWriteArrayList<>();
   private volatile FleetSnapshot current = FleetSnapshot.empty();
   private volatile Instant freshAt = Instant.MIN;
+  private volatile String watched = "none";
+  private volatile Origin origin = new Origin("none", Duration.ZERO, Optional.empty());
 
   private FleetViewHolder() {}
 
@@ -38,6 +40,16 @@
     return freshAt;
   }
 
+  /** Records which control instance the messages come from that are applied from now on. */
+  void watching(String instance) {
+    watched = instance;
+  }
+
+  /** Returns where the newest change of the view came from. */
+  public Origin origin() {
+    return origin;
+  }
+
   /** Returns the time since the view was last confirmed to be the newest; empty if it never was. */
   public Optional<Duration> sinceConfirmed(Instant now) {
     Instant confirmed = freshAt;
@@ -58,13 +70,13 @@
   synchronized Received apply(ControlAnswer message, Instant now) {
     if (message instanceof WatchSnapshot snapshot) {
       if (snapshot.view().index() > current.index()) {
-        replace(FleetSnapshot.of(snapshot.view()));
+        replace(FleetSnapshot.of(snapshot.view()), snapshot.ageMillis(), now);
       }
       return received(snapshot.view().index(), snapshot.ageMillis(), now);
     }
     if (message instanceof WatchDelta delta) {
       if (delta.change().index() > current.index()) {
-        replace(current.changed(delta.change()));
+        replace(current.changed(delta.change()), delta.ageMillis(), now);
       }
       return received(delta.change().index(), delta.ageMillis(), now);
     }
@@ -77,7 +89,8 @@
     return new Received(0, Duration.ofDays(1));
   }
 
-  private void replace(FleetSnapshot next) {
+  private void replace(FleetSnapshot next, long ageMillis, Instant now) {
+    origin = new Origin(watched, Duration.ofMillis(ageMillis), sinceConfirmed(now));
     FleetSnapshot before = current;
     current = next;
     List<RuntimeException> failures = new ArrayList<>();
@@ -101,6 +114,16 @@
     return new Received(index, Duration.ofMillis(ageMillis));
   }
 
+  /**
+   * Where a change of the view came from.
+   *
+   * @param instance control instance that sent it
+   * @param age age that its message stated
+   * @param sinceConfirmed time for which the view before it had not been confirmed; empty if it
+   *     never was
+   */
+  public record Origin(String instance, Duration age, Optional<Duration> sinceConfirmed) {}
+
   /** Index and age that a message told. */
   record Received(long index, Duration age) {}
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -103,6 +103,7 @@
   }
 
   private void watch(String instance) throws InterruptedException {
+    holder.watching(instance);
     BlockingQueue<ControlAnswer> queue = new LinkedBlockingQueue<>(MAX_QUEUED_MESSAGES);
     long after = holder.current().index();
     if (instance.equals(self) && local.isPresent()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -72,7 +72,8 @@
    */
   public List<String> publish(long version, List<PublishedObject> objects, byte[] document)
       throws ServingException {
-    Instant deadline = clock.instant().plus(PUBLISH_TIMEOUT);
+    Instant begun = clock.instant();
+    Instant deadline = begun.plus(PUBLISH_TIMEOUT);
     PublishCall call =
         PublishCall.of(
             UUID.randomUUID().toString(),
@@ -85,11 +86,16 @@
     while (answer.outcome() == PublishOutcome.CONFLICT) {
       answer = client.call(call, PublishAnswer.class, deadline);
     }
+    FleetSnapshot view = holder.current();
     log.info(
         Event.of("publish")
             .with("version", version)
             .with("outcome", answer.outcome())
             .with("inForce", answer.version())
+            .with("by", self)
+            .with("millis", Duration.between(begun, clock.instant()).toMillis())
+            .with("viewVersion", view.configuration().version())
+            .with("view", view.index())
             .with("faults", answer.faults()));
     return answer.faults();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -27,10 +27,10 @@
 import org.geraniumwharf.internal.fleet.CrashExchange;
 import org.geraniumwharf.internal.fleet.DeploymentWork;
 import org.geraniumwharf.internal.fleet.FleetMembership;
-import org.geraniumwharf.internal.fleet.FleetSnapshot;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
+import org.geraniumwharf.internal.fleet.ViewReports;
 import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.http.ApiServer;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
@@ -179,7 +179,7 @@
   public void start() throws IOException, ControlException, InterruptedException {
     PeerService peers =
         PeerService.start(network, ControlDirectory.parseAddress(settings.peer()), log);
-    holder.onChange(this::logConfiguration);
+    ViewReports.logConfigurations(holder, log);
     if (settings.isControl()) {
       startControl(peers);
     }
@@ -306,15 +306,6 @@
     return ApiServer.ApiAnswer.text(200, text);
   }
 
-  private void logConfiguration(FleetSnapshot before, FleetSnapshot after) {
-    if (before.configuration().version() != after.configuration().version()) {
-      log.info(
-          Event.of("configuration-applied")
-              .with("version", after.configuration().version())
-              .with("index", after.index()));
-    }
-  }
-
   /** Takes changed settings; only the seeds can change while the process runs. */
   public void reload(NodeSettings changed) {
     directory.replaceSeeds(changed.seeds());
