Measure the age of the view, the version in force and refusals by kind

Change: gauges configuration_version, view_index and view_age_seconds at every process, counter refused_total by kind. The daemon's own two gauges move to the same place.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
@@ -152,8 +152,7 @@
 
   private void registerGauges() {
     metrics.gauge("in_flight", gate::inFlightOrQueued);
-    metrics.gauge("configuration_version", () -> fleet.current().configuration().version());
-    metrics.gauge("view_index", () -> fleet.current().index());
+    ViewReports.registerGauges(fleet, metrics, clock);
     metrics.gauge("targets_known", () -> fleet.current().targets().size());
     metrics.gauge("peer_bytes_sent_total", network.traffic()::bytes);
     metrics.gauge("peer_frames_sent_total", network.traffic()::frames);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewReports.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewReports.java
@@ -1,13 +1,17 @@
 package org.geraniumwharf.internal.fleet;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 
-/** Log events of the view of the fleet that is in force at this daemon. */
+/** Log events and metrics of the view of the fleet that is in force at this daemon. */
 public final class ViewReports {
 
   private static final long NEVER = -1;
+  private static final double MILLIS_PER_SECOND = 1000;
 
   private ViewReports() {}
 
@@ -21,6 +25,21 @@
         });
   }
 
+  /** Registers what is in force and how long ago it was last confirmed. */
+  public static void registerGauges(
+      FleetViewHolder holder, DaemonMetrics metrics, InstantSource clock) {
+    metrics.gauge("configuration_version", () -> holder.current().configuration().version());
+    metrics.gauge("view_index", () -> holder.current().index());
+    metrics.gauge("view_age_seconds", () -> ageSeconds(holder, clock.instant()));
+  }
+
+  private static double ageSeconds(FleetViewHolder holder, Instant now) {
+    return holder
+        .sinceConfirmed(now)
+        .map(age -> age.toMillis() / MILLIS_PER_SECOND)
+        .orElse((double) NEVER);
+  }
+
   private static Event applied(FleetSnapshot view, FleetViewHolder.Origin origin) {
     return Event.of("configuration-applied")
         .with("version", view.configuration().version())
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -48,6 +48,11 @@
     registry.counter("errors_total." + kind.wireName()).inc();
   }
 
+  /** Records a request that no target has executed and that this instance refused. */
+  public void requestRefused(ErrorKind kind) {
+    registry.counter("refused_total." + kind.wireName()).inc();
+  }
+
   /** Records by how much an event loop lagged at a measurement. */
   public void eventLoopLagged(Duration lag) {
     eventLoopLag.update(lag);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -187,6 +187,7 @@
     if (settings.isEntry()) {
       startEntry();
     }
+    ViewReports.registerGauges(holder, metrics, clock);
     if (settings.metrics().isPresent()) {
       startApi(settings.metrics().get(), request -> CompletableFuture.completedFuture(metrics()));
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -522,7 +522,7 @@
     } else if (isPossiblyExecuted()) {
       finishAsFailed(ServingErrors.instanceStopped());
     } else {
-      finishWithError(ServingErrors.shuttingDown(), "refused");
+      finishAsRefused(ServingErrors.shuttingDown());
     }
   }
 
@@ -563,10 +563,15 @@
     } else if (mayHaveExecuted) {
       finishAsFailed(ServingErrors.targetFailed("every target that was tried", error.getMessage()));
     } else {
-      finishWithError(error, "refused");
+      finishAsRefused(error);
     }
   }
 
+  private void finishAsRefused(ServingException error) {
+    relay.metrics().requestRefused(error.kind());
+    finishWithError(error, "refused");
+  }
+
   private void finishAsFailed(ServingException error) {
     finishWithError(error, "failed");
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
@@ -1,10 +1,12 @@
 package org.geraniumwharf.internal.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.WatchFreshness;
@@ -63,6 +65,21 @@
     assertEquals(List.of(), lines);
   }
 
+  @Test
+  void should_report_the_version_in_force_and_the_age_of_its_confirmation() {
+    DaemonMetrics metrics = DaemonMetrics.create();
+    ViewReports.registerGauges(holder, metrics, () -> NOW.plusMillis(1500));
+    String before = metrics.prometheusText();
+    holder.apply(snapshot(10, 4, 500), NOW);
+
+    String after = metrics.prometheusText();
+
+    assertTrue(before.contains("\ngeraniumwharf_view_age_seconds -1.0\n"), before);
+    assertTrue(after.contains("\ngeraniumwharf_view_age_seconds 2.0\n"), after);
+    assertTrue(after.contains("\ngeraniumwharf_configuration_version 4\n"), after);
+    assertTrue(after.contains("\ngeraniumwharf_view_index 10\n"), after);
+  }
+
   private static WatchSnapshot snapshot(long index, long version, long ageMillis) {
     return WatchSnapshot.of(
         FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), ageMillis);
