--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLink.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLink.java
@@ -29,6 +29,7 @@
   private Optional<PeerConnection> connection = Optional.empty();
   private boolean isConnecting;
   private boolean isClosed;
+  private boolean isRefused;
   private Instant nextAttempt = Instant.MIN;
 
   PeerLink(InetSocketAddress address, PeerNetwork network, Executor workers, InstantSource clock) {
@@ -52,7 +53,21 @@
     return CompletableFuture.failedFuture(new ConnectException("no connection to " + address));
   }
 
-  private synchronized Optional<PeerConnection> openConnection() {
+  private Optional<PeerConnection> openConnection() {
+    Optional<PeerConnection> open = openOrStartConnecting();
+    if (open.isEmpty() && takeRefusal()) {
+      network.logConnectRefused(address);
+    }
+    return open;
+  }
+
+  private synchronized boolean takeRefusal() {
+    boolean wasRefused = isRefused;
+    isRefused = false;
+    return wasRefused;
+  }
+
+  private synchronized Optional<PeerConnection> openOrStartConnecting() {
     if (connection.isPresent() && connection.get().isOpen()) {
       return connection;
     }
@@ -72,6 +87,7 @@
       workers.execute(this::connect);
     } catch (RejectedExecutionException e) {
       isConnecting = false;
+      isRefused = true;
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerNetwork.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerNetwork.java
@@ -51,6 +51,14 @@
     return traffic;
   }
 
+  /** Logs that no worker was free to open the connection of a link. */
+  void logConnectRefused(InetSocketAddress address) {
+    log.warn(
+        Event.of("link-connect-refused")
+            .with("address", address)
+            .with("cause", "every worker is busy"));
+  }
+
   /** Starts to accept connections. */
   void listen(InetSocketAddress address, PeerConnection.Handler handler) throws IOException {
     server = sockets.listen(address);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/transport/PeerLinkTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/transport/PeerLinkTest.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.transport;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -9,11 +11,14 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.PeerMessage;
@@ -33,7 +38,8 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final Duration RECONNECT_PAUSE = Duration.ofMillis(100);
 
-  private final PeerNetwork server = network("server");
+  private final PeerNetwork server = network("server", EventLog.none());
+  private final List<String> lines = new ArrayList<>();
   private boolean isPoolFull = true;
   private Instant now = Instant.EPOCH;
   private PeerLink link;
@@ -49,7 +55,7 @@
           }
           task.run();
         };
-    link = new PeerLink(address, network("client"), workers, () -> now);
+    link = new PeerLink(address, network("client", new ListedLog(lines)), workers, () -> now);
   }
 
   @AfterEach
@@ -70,13 +76,24 @@
     assertInstanceOf(ReadIndexAnswer.class, call());
   }
 
+  @Test
+  void should_log_each_attempt_to_connect_for_which_no_worker_is_free() {
+    link.send(ReadIndexCall.of("client"));
+    link.send(ReadIndexCall.of("client"));
+    now = now.plus(RECONNECT_PAUSE);
+    link.send(ReadIndexCall.of("client"));
+
+    assertEquals(2, lines.size());
+    assertTrue(lines.get(0).startsWith("event=link-connect-refused address="), lines.get(0));
+  }
+
   private ControlAnswer call() throws Exception {
     return link.call(ReadIndexCall.of("client"), TIMEOUT)
         .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
   }
 
-  private static PeerNetwork network(String name) {
-    return PeerNetwork.create(name, KEY, Sockets.of(Optional.empty()), () -> true, EventLog.none());
+  private static PeerNetwork network(String name, EventLog log) {
+    return PeerNetwork.create(name, KEY, Sockets.of(Optional.empty()), () -> true, log);
   }
 
   private static int freePort() throws IOException {
@@ -85,6 +102,19 @@
     }
   }
 
+  private record ListedLog(List<String> lines) implements EventLog {
+
+    @Override
+    public void info(Event event) {
+      lines.add(event.line());
+    }
+
+    @Override
+    public void warn(Event event) {
+      lines.add(event.line());
+    }
+  }
+
   private static final class AnsweringHandler implements PeerConnection.Handler {
 
     @Override
