--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -112,6 +112,7 @@
       changes.addAll(crashes.recordCrash(evidence, now));
     }
     QuarantineEvents.log(log, changes);
+    QuarantineEvents.logWaiting(log, crashes.takeWaiting());
   }
 
   /** Returns the prompt parts that are suspected to crash targets. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
@@ -39,6 +39,8 @@
   private final Map<String, Suspicion> suspected = new LinkedHashMap<>();
   private final Map<String, Suspicion> quarantined = new LinkedHashMap<>();
 
+  private final List<WaitingPart> waiting = new ArrayList<>();
+
   private CrashLedger() {}
 
   public static CrashLedger create() {
@@ -93,11 +95,14 @@
    */
   private List<QuarantineChange> quarantineMostLikely(
       List<String> parts, Crash newest, Instant now) {
+    List<String> suspects =
+        parts.stream().distinct().filter(part -> crashes(part) >= QUARANTINE_CRASHES).toList();
+    List<String> postponed =
+        suspects.stream().filter(part -> mayBeExplainedByDeeperPart(part, newest, parts)).toList();
+    postponed.forEach(this::recordWaiting);
     Optional<String> mostLikely =
-        parts.stream()
-            .distinct()
-            .filter(part -> crashes(part) >= QUARANTINE_CRASHES)
-            .filter(part -> !mayBeExplainedByDeeperPart(part, newest, parts))
+        suspects.stream()
+            .filter(part -> !postponed.contains(part))
             .max(
                 Comparator.<String>comparingInt(this::crashes)
                     .thenComparingInt(part -> suspected.get(part).depth));
@@ -113,6 +118,25 @@
             part, suspicion.crashes.size(), "targets crashed under it, last at " + now));
   }
 
+  /** Notes a part once for each crash, however often the crash is reported. */
+  private void recordWaiting(String part) {
+    Suspicion suspicion = suspected.get(part);
+    if (suspicion.waitingCrashes != suspicion.crashes.size()) {
+      suspicion.waitingCrashes = suspicion.crashes.size();
+      waiting.add(new WaitingPart(part, suspicion.crashes.size()));
+    }
+  }
+
+  /**
+   * Returns the parts that had enough crashes since the last call and are not quarantined yet,
+   * because a deeper part of other requests may explain them.
+   */
+  public List<WaitingPart> takeWaiting() {
+    List<WaitingPart> taken = List.copyOf(waiting);
+    waiting.clear();
+    return taken;
+  }
+
   /**
    * Returns whether a deeper part of other requests had all crashes of a part but the newest one.
    * The requests under way at one crash are reported one by one, so the request with the deeper
@@ -213,6 +237,13 @@
     return List.copyOf(quarantined.keySet());
   }
 
+  /**
+   * A part whose quarantine waits for the next crash.
+   *
+   * @param crashes distinct crashes that count against it
+   */
+  public record WaitingPart(String part, int crashes) {}
+
   /** One crash of one process of a target. */
   private record Crash(String target, long incarnation) {}
 
@@ -221,6 +252,7 @@
     private final Set<Crash> crashes = new LinkedHashSet<>();
     private Instant lastCrashAt;
     private int depth;
+    private int waitingCrashes;
 
     private Suspicion(Instant now) {
       lastCrashAt = now;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
@@ -114,6 +114,11 @@
     return changes;
   }
 
+  /** Returns the parts whose quarantine waits by the evidence of this instance; each once. */
+  public synchronized List<CrashLedger.WaitingPart> takeWaiting() {
+    return own.takeWaiting();
+  }
+
   private boolean isSoundLately(String part, Instant now) {
     Instant at = soundAt.get(part);
     return at != null && now.isBefore(at.plus(SOUND_VALIDITY));
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/QuarantineEvents.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/QuarantineEvents.java
@@ -20,6 +20,17 @@
     }
   }
 
+  /** Logs each part whose quarantine waits. */
+  public static void logWaiting(EventLog log, List<CrashLedger.WaitingPart> parts) {
+    for (CrashLedger.WaitingPart waiting : parts) {
+      log.info(
+          Event.of("part-quarantine-waits")
+              .with("part", waiting.part())
+              .with("crashes", waiting.crashes())
+              .with("cause", "a deeper part of other requests may explain the crashes"));
+    }
+  }
+
   private static Event event(String name, QuarantineChange change) {
     return Event.of(name)
         .with("part", change.part())
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
@@ -105,6 +105,19 @@
     assertEquals(List.of("bad"), ledger.quarantinedParts());
   }
 
+  @Test
+  void should_tell_once_for_each_crash_that_the_quarantine_of_a_part_waits() {
+    crash(1, "first", "a", "bad");
+    crash(2, "first", "b", "bad");
+    crash(3, "first", "c");
+    crash(3, "first", "c");
+
+    List<CrashLedger.WaitingPart> waiting = ledger.takeWaiting();
+
+    assertEquals(List.of(new CrashLedger.WaitingPart("first", 3)), waiting);
+    assertEquals(List.of(), ledger.takeWaiting());
+  }
+
   @Test
   void should_not_wait_longer_than_one_crash_for_a_request_with_a_deeper_part() {
     crash(1, "first", "a", "under-way");
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LoggedQuarantine.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LoggedQuarantine.java
@@ -32,6 +32,7 @@
 
   void recordCrash(String target, long incarnation, List<String> prompt, Instant now) {
     QuarantineEvents.log(log, parts.recordCrash(target, incarnation, prompt, now));
+    QuarantineEvents.logWaiting(log, parts.takeWaiting());
   }
 
   void recordSound(List<String> prompt, Instant now) {
