--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -131,10 +131,16 @@
 
   private void follow(String instance, BlockingQueue<ControlAnswer> queue)
       throws InterruptedException {
+    log.info(
+        Event.of("watch-started")
+            .with("instance", instance)
+            .with("index", holder.current().index()));
     Instant lastFresh = clock.instant();
+    String cause = "stale";
     while (clock.instant().isBefore(lastFresh.plus(STALE))) {
       ControlAnswer message = queue.poll(POLL.toMillis(), TimeUnit.MILLISECONDS);
       if (message == END_OF_STREAM) {
+        cause = "closed";
         TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
         break;
       }
@@ -151,7 +157,17 @@
       confirmOnce();
     }
     log.info(
-        Event.of("watch-ended").with("instance", instance).with("index", holder.current().index()));
+        Event.of("watch-ended")
+            .with("instance", instance)
+            .with("cause", cause)
+            .with("index", holder.current().index())
+            .with("newsAgeMillis", newsAgeMillis()));
+  }
+
+  /** Time since the view was confirmed to be the newest; -1 if it never was. */
+  private long newsAgeMillis() {
+    Instant freshAt = holder.freshAt();
+    return freshAt.equals(Instant.MIN) ? -1 : Duration.between(freshAt, clock.instant()).toMillis();
   }
 
   /** Applies a message and returns whether it shows that the stream is up to date. */
