Leave a control instance without news in time, and count news from its confirmation

Cause: ViewWatcher followed one control instance at a time. A message less than 1.5 s old counted as news, and a further 1.5 s were counted from its arrival, so an instance cut off from the others was followed for up to 3 s. The next candidates then came one after the other, each with its own wait: 1 s to connect, 3 s for a handshake, 1.5 s for a stream that says nothing. The order was made anew from the members known by then, so its running number could point to the instance just given up. The wait for a confirmed read at the start blocked the same thread.

Change: WatchPlan decides with the present time as an argument. News is a message of an index not below the view's and counts from its confirmation. After 900 ms without any, one more instance is watched every 150 ms beside the first; the first that has news is kept, the others are closed. The order is kept by name; an instance given up goes to the end. Connections are opened by threads of their own, one for each instance at most; the time of arrival is taken by the thread that reads.

Why it works: with two lost, news comes at most 900 ms + 2 * 150 ms and a connection after the last confirmation, whatever each of them does.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -6,17 +6,19 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
-import org.geraniumwharf.schema.messages.CallFailed;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.ReadIndexAnswer;
 import org.geraniumwharf.schema.messages.ReadIndexCall;
@@ -24,17 +26,16 @@
 import org.geraniumwharf.schema.messages.WatchFreshness;
 
 /**
- * Keeps one watch stream open, to the local control instance if there is one, and moves on to
- * another instance when the stream ends or goes stale.
+ * Keeps one watch stream open, first to the local control instance if there is one, and opens
+ * others beside it while it has no news; the first that has some is kept. One thread owns the plan
+ * and the view; connections are opened by threads of their own, at most one for each instance.
  */
 public final class ViewWatcher implements Runnable {
 
-  private static final Duration STALE = Duration.ofMillis(1500);
-  private static final Duration POLL = Duration.ofMillis(200);
+  private static final Duration POLL = Duration.ofMillis(50);
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(2);
-  private static final Duration PAUSE = Duration.ofMillis(100);
+  private static final Duration READ_PAUSE = Duration.ofMillis(100);
   private static final int MAX_QUEUED_MESSAGES = 16_384;
-  private static final ControlAnswer END_OF_STREAM = CallFailed.of("", "end of stream", false);
 
   private final String self;
   private final ControlDirectory directory;
@@ -45,8 +46,12 @@
   private final ControlReachability reachability;
   private final EventLog log;
   private final InstantSource clock;
+  private final BlockingQueue<Received> queue = new LinkedBlockingQueue<>(MAX_QUEUED_MESSAGES);
+
+  /** Watches that are not given up, and those given up whose connection is still being opened. */
+  private final Map<String, Watch> watches = new LinkedHashMap<>();
+
   private volatile Optional<ControlInstance> local = Optional.empty();
-  private int nextInstance;
 
   ViewWatcher(
       String self,
@@ -75,18 +80,31 @@
 
   @Override
   public void run() {
+    Thread confirming = DaemonThreads.start(this::confirm, "view-confirm");
+    WatchPlan plan = WatchPlan.start(clock.instant());
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        List<String> order = order();
-        String instance = order.get(nextInstance % order.size());
-        nextInstance++;
-        watch(instance);
+        step(plan);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } finally {
+      confirming.interrupt();
+      watches.values().forEach(Watch::giveUp);
     }
   }
 
+  private void step(WatchPlan plan) throws InterruptedException {
+    Received received = queue.poll(POLL.toMillis(), TimeUnit.MILLISECONDS);
+    if (received != null) {
+      handle(plan, received);
+    }
+    if (queue.isEmpty()) {
+      removeEnded(plan);
+    }
+    plan.next(order(), clock.instant()).ifPresent(name -> start(plan, name));
+  }
+
   /** Own instance first, then the others from a place that differs between daemons. */
   private List<String> order() {
     List<String> names = new ArrayList<>(directory.names());
@@ -102,89 +120,113 @@
     return order;
   }
 
-  private void watch(String instance) throws InterruptedException {
-    holder.watching(instance);
-    BlockingQueue<ControlAnswer> queue = new LinkedBlockingQueue<>(MAX_QUEUED_MESSAGES);
+  private void start(WatchPlan plan, String instance) {
+    Watch opening = watches.get(instance);
+    if (opening != null && !opening.hasEnded) {
+      // Its connection is still being opened.
+      plan.ended(instance, clock.instant());
+      return;
+    }
+    Watch watch = new Watch(instance);
+    watches.put(instance, watch);
+    log.info(
+        Event.of("watch-started")
+            .with("instance", instance)
+            .with("index", holder.current().index()));
     long after = holder.current().index();
     if (instance.equals(self) && local.isPresent()) {
-      WatchToken token = new WatchToken();
-      local.get().watch(after, message -> token.isOpen() && queue.offer(message));
-      follow(instance, queue);
-      token.close();
-      return;
+      local.get().watch(after, watch::receive);
+    } else {
+      DaemonThreads.start(() -> open(watch, after), "view-watch-" + instance);
     }
-    try (AutoCloseable stream =
-        links.watch(instance, WatchCall.of(self, after), queue, END_OF_STREAM)) {
-      follow(instance, queue);
+  }
+
+  private void open(Watch watch, long after) {
+    try {
+      AutoCloseable stream =
+          links.watch(watch.instance, WatchCall.of(self, after), watch::receive, watch::end);
+      watch.opened(stream);
     } catch (ConnectException e) {
-      reachability.accountedFor(instance, clock.instant());
-      TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
+      reachability.accountedFor(watch.instance, clock.instant());
+      watch.end();
     } catch (IOException e) {
-      log.info(Event.of("watch-failed").with("instance", instance).with("cause", e.getMessage()));
-      TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
-    } catch (InterruptedException e) {
-      throw e;
-    } catch (Exception e) {
-      log.warn(Event.of("watch-failed").with("instance", instance).with("cause", e));
+      log.info(
+          Event.of("watch-failed").with("instance", watch.instance).with("cause", e.getMessage()));
+      watch.end();
+    } catch (RuntimeException e) {
+      log.warn(Event.of("watch-failed").with("instance", watch.instance).with("cause", e));
+      watch.end();
     }
   }
 
-  private void follow(String instance, BlockingQueue<ControlAnswer> queue)
-      throws InterruptedException {
-    log.info(
-        Event.of("watch-started")
-            .with("instance", instance)
-            .with("index", holder.current().index()));
-    Instant lastFresh = clock.instant();
-    String cause = "stale";
-    while (clock.instant().isBefore(lastFresh.plus(STALE))) {
-      ControlAnswer message = queue.poll(POLL.toMillis(), TimeUnit.MILLISECONDS);
-      if (message == END_OF_STREAM) {
-        cause = "closed";
-        TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
-        break;
-      }
-      if (message != null) {
-        Instant now = clock.instant();
-        if (message instanceof WatchFreshness freshness) {
-          directory.learn(freshness.members());
-        }
-        reachability.accountedFor(instance, now);
-        if (isFresh(message, now)) {
-          lastFresh = now;
-        }
+  private void handle(WatchPlan plan, Received received) {
+    Watch watch = received.watch();
+    if (watch.isGivenUp) {
+      return;
+    }
+    if (received.message() instanceof WatchFreshness freshness) {
+      directory.learn(freshness.members());
+    }
+    reachability.accountedFor(watch.instance, received.at());
+    for (String givenUp : apply(plan, received)) {
+      Watch other = watches.get(givenUp);
+      other.giveUp();
+      logEnd(other, "no-news");
+    }
+  }
+
+  /** Applies a message and returns the instances that are given up for its sender. */
+  private List<String> apply(WatchPlan plan, Received received) {
+    try {
+      holder.watching(received.watch().instance);
+      FleetViewHolder.Received applied = holder.apply(received.message(), received.at());
+      return applied.index() >= holder.current().index()
+          ? plan.received(
+              received.watch().instance, received.at().minus(applied.age()), clock.instant())
+          : List.of();
+    } catch (RuntimeException e) {
+      log.warn(Event.of("view-listener-failed").with("cause", e));
+      return List.of();
+    }
+  }
+
+  /** Takes the ends of watches, after every message that they received before. */
+  private void removeEnded(WatchPlan plan) {
+    List<Watch> ended = watches.values().stream().filter(watch -> watch.hasEnded).toList();
+    for (Watch watch : ended) {
+      watches.remove(watch.instance);
+      if (!watch.isGivenUp) {
+        plan.ended(watch.instance, clock.instant());
+        logEnd(watch, "closed");
       }
-      confirmOnce();
     }
+  }
+
+  private void logEnd(Watch watch, String cause) {
+    Instant freshAt = holder.freshAt();
+    long newsAge =
+        freshAt.equals(Instant.MIN) ? -1 : Duration.between(freshAt, clock.instant()).toMillis();
     log.info(
         Event.of("watch-ended")
-            .with("instance", instance)
+            .with("instance", watch.instance)
             .with("cause", cause)
             .with("index", holder.current().index())
-            .with("newsAgeMillis", newsAgeMillis()));
+            .with("newsAgeMillis", newsAge));
   }
 
-  /** Time since the view was confirmed to be the newest; -1 if it never was. */
-  private long newsAgeMillis() {
-    Instant freshAt = holder.freshAt();
-    return freshAt.equals(Instant.MIN) ? -1 : Duration.between(freshAt, clock.instant()).toMillis();
-  }
-
-  /** Applies a message and returns whether it shows that the stream is up to date. */
-  private boolean isFresh(ControlAnswer message, Instant now) {
+  /** Asks a quorum, until it answers, which index covers every change before the start. */
+  private void confirm() {
     try {
-      FleetViewHolder.Received received = holder.apply(message, now);
-      return received.age().compareTo(STALE) < 0 && received.index() >= holder.current().index();
-    } catch (RuntimeException e) {
-      log.warn(Event.of("view-listener-failed").with("cause", e));
-      return true;
+      while (!Thread.currentThread().isInterrupted() && !readiness.isConfirmed()) {
+        confirmOnce();
+        TimeUnit.MILLISECONDS.sleep(READ_PAUSE.toMillis());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
   private void confirmOnce() {
-    if (readiness.isConfirmed()) {
-      return;
-    }
     try {
       ReadIndexAnswer answer =
           client.call(
@@ -196,17 +238,57 @@
     }
   }
 
-  /** Ends the stream of the local instance, which has no connection to close. */
-  private static final class WatchToken {
+  /** A message of a watch and the time of its arrival. */
+  private record Received(Watch watch, ControlAnswer message, Instant at) {}
+
+  /** The watch of one instance; ended by the other side, or given up by the watcher's thread. */
+  private final class Watch {
+
+    private final String instance;
+    private volatile boolean hasEnded;
+    private volatile boolean isGivenUp;
+    private Optional<AutoCloseable> stream = Optional.empty();
+
+    Watch(String instance) {
+      this.instance = instance;
+    }
+
+    /** Returns whether the watch goes on. */
+    boolean receive(ControlAnswer message) {
+      boolean goesOn = !isGivenUp && queue.offer(new Received(this, message, clock.instant()));
+      if (!goesOn) {
+        hasEnded = true;
+      }
+      return goesOn;
+    }
+
+    void end() {
+      hasEnded = true;
+    }
 
-    private volatile boolean isOpen = true;
+    synchronized void opened(AutoCloseable opened) {
+      stream = Optional.of(opened);
+      if (isGivenUp) {
+        closeStream();
+      }
+    }
 
-    boolean isOpen() {
-      return isOpen;
+    synchronized void giveUp() {
+      isGivenUp = true;
+      if (instance.equals(self) && local.isPresent()) {
+        hasEnded = true;
+      }
+      closeStream();
     }
 
-    void close() {
-      isOpen = false;
+    private void closeStream() {
+      try {
+        if (stream.isPresent()) {
+          stream.get().close();
+        }
+      } catch (Exception e) {
+        log.warn(Event.of("watch-close-failed").with("instance", instance).with("cause", e));
+      }
     }
   }
 }
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
@@ -0,0 +1,126 @@
+package org.geraniumwharf.internal.fleet;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Decides which control instances are watched at a time: one while it has news, and one more every
+ * {@link #STAGGER} while none has. Used by one thread.
+ *
+ * <p>News is a message of an index not below the view's, and counts from the time at which a quorum
+ * confirmed it, not from its arrival.
+ */
+final class WatchPlan {
+
+  /**
+   * Time without news after which others are watched too. With two lost instances before the first
+   * that has news, a change comes {@code NEWS_TIMEOUT + STAGGER} and a connection after it was
+   * confirmed; it must be in force after 2 s. In the calm news is up to 570 ms old before the next
+   * comes: two heartbeats of the leader and the interval between two messages of a watch.
+   */
+  static final Duration NEWS_TIMEOUT = Duration.ofMillis(900);
+
+  static final Duration STAGGER = Duration.ofMillis(150);
+
+  /** Time before an instance is watched again whose watch ended by itself. */
+  static final Duration RETRY_PAUSE = Duration.ofMillis(300);
+
+  /** Next candidate first; an instance that was given up goes to the end. */
+  private final List<String> order = new ArrayList<>();
+
+  /** Instances that are watched, the first one first. */
+  private final Map<String, Instant> watchedSince = new LinkedHashMap<>();
+
+  private final Map<String, Instant> endedAt = new HashMap<>();
+  private Instant newsAt;
+  private Instant lastStart = Instant.MIN;
+
+  private WatchPlan(Instant now) {
+    this.newsAt = now;
+  }
+
+  static WatchPlan start(Instant now) {
+    return new WatchPlan(now);
+  }
+
+  /**
+   * Returns the instance to watch now, if any, and takes it as watched.
+   *
+   * @param known instances in the order in which those that are new here are tried
+   */
+  Optional<String> next(List<String> known, Instant now) {
+    updateOrder(known);
+    if (!isDue(now)) {
+      return Optional.empty();
+    }
+    Optional<String> next = order.stream().filter(name -> isCandidate(name, now)).findFirst();
+    next.ifPresent(
+        name -> {
+          watchedSince.put(name, now);
+          lastStart = now;
+        });
+    return next;
+  }
+
+  private void updateOrder(List<String> known) {
+    order.retainAll(known);
+    known.stream().filter(name -> !order.contains(name)).forEach(order::add);
+  }
+
+  private boolean isDue(Instant now) {
+    if (watchedSince.isEmpty()) {
+      return true;
+    }
+    return !isNews(newsAt, now) && !now.isBefore(lastStart.plus(STAGGER));
+  }
+
+  private boolean isCandidate(String name, Instant now) {
+    Instant ended = endedAt.get(name);
+    return !watchedSince.containsKey(name)
+        && (ended == null || !now.isBefore(ended.plus(RETRY_PAUSE)));
+  }
+
+  /** Tells whether a view that was confirmed at a time counts as news. */
+  static boolean isNews(Instant confirmedAt, Instant now) {
+    return now.isBefore(confirmedAt.plus(NEWS_TIMEOUT));
+  }
+
+  /** Takes the end of a watch that was not given up here. */
+  void ended(String name, Instant now) {
+    watchedSince.remove(name);
+    endedAt.put(name, now);
+    moveToEnd(name);
+  }
+
+  /**
+   * Takes a message of a watched instance, of an index not below the view's.
+   *
+   * @return the instances whose watches are given up, since this one has news
+   */
+  List<String> received(String name, Instant confirmedAt, Instant now) {
+    if (!isNews(confirmedAt, now) || !watchedSince.containsKey(name)) {
+      return List.of();
+    }
+    newsAt = confirmedAt.isAfter(newsAt) ? confirmedAt : newsAt;
+    List<String> givenUp = new ArrayList<>(watchedSince.keySet());
+    givenUp.remove(name);
+    // The instance that has been silent for longest is tried last.
+    for (int i = givenUp.size() - 1; i >= 0; i--) {
+      moveToEnd(givenUp.get(i));
+    }
+    givenUp.forEach(watchedSince::remove);
+    return givenUp;
+  }
+
+  private void moveToEnd(String name) {
+    if (order.remove(name)) {
+      order.add(name);
+    }
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLinks.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/transport/PeerLinks.java
@@ -5,11 +5,11 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
+import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.HelloAccepted;
 import org.geraniumwharf.schema.messages.PeerMessage;
@@ -61,11 +61,11 @@
   /**
    * Opens a watch stream.
    *
-   * @param sink receives the stream; {@code endOfStream} follows the last message
+   * @param sink receives the stream, and ends it by rejecting a message
+   * @param ended runs after the last message
    * @throws IOException if the instance cannot be reached
    */
-  public AutoCloseable watch(
-      String to, WatchCall call, BlockingQueue<ControlAnswer> sink, ControlAnswer endOfStream)
+  public AutoCloseable watch(String to, WatchCall call, ViewSink sink, Runnable ended)
       throws IOException {
     PeerConnection.Handler handler =
         new PeerConnection.Handler() {
@@ -78,7 +78,7 @@
 
           @Override
           public void closed(PeerConnection connection) {
-            sink.offer(endOfStream);
+            ended.run();
           }
         };
     PeerConnection connection = network.connect(addresses.apply(to), handler).connection();
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/transport/PeerServiceTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/transport/PeerServiceTest.java
@@ -39,7 +39,9 @@
     PeerLinks links =
         PeerLinks.create(entry, name -> address, Runnable::run, InstantSource.system());
 
-    try (AutoCloseable watch = links.watch("control-1", WatchCall.of("entry-1", 0), stream, END)) {
+    try (AutoCloseable watch =
+        links.watch(
+            "control-1", WatchCall.of("entry-1", 0), stream::offer, () -> stream.offer(END))) {
       assertEquals(END, stream.poll(10, SECONDS));
     }
   }
