Call a view fresh only once all that is committed has been applied

What callers saw: none in the record.

Cause: ReplicaRunner.step told watchers the age of the newest append before the entries that came with it, already committed elsewhere, were written and applied. While a disk is slow each message calls an index fresh that is behind by one or two writes, so entries have no reason to leave the instance; the same for a watch that begins in such a step.

Change: the age of the view is taken after everything that a step committed has been applied, and the message of the interval is sent then. Deltas carry the age of the step before, which is older by a heartbeat at most.

Why it works: an index is told together with a time of confirmation only when no committed entry that the replica knows of is left to apply.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -87,6 +87,11 @@
   private Instant stopDeadline = Instant.MAX;
   private Instant nextTick = Instant.MIN;
   private Instant nextFreshness = Instant.MIN;
+
+  /** Age of the view as of {@link #viewConfirmedAgeAt}, when all that was committed was applied. */
+  private Duration viewConfirmedAge = Duration.ofDays(1);
+
+  private Instant viewConfirmedAgeAt;
   private Role lastRole = Role.FOLLOWER;
   private Optional<String> lastLeader = Optional.empty();
 
@@ -103,6 +108,7 @@
     this.sender = sender;
     this.log = log;
     this.clock = clock;
+    this.viewConfirmedAgeAt = clock.instant();
     this.snapshots = SnapshotSchedule.of(options.snapshotEntries(), MIN_SNAPSHOT_INTERVAL_BYTES);
     this.duties = new LeaderDuties(options, log);
     this.placement = new PlacementDuty(options, log);
@@ -268,6 +274,7 @@
     }
     core.flush(now);
     processAllOutput();
+    sendFreshnessIfDue(clock.instant());
     handleRoleChange(clock.instant());
     publishLeadership(clock.instant());
     if (!now.isBefore(stopDeadline) || (isStopRequested() && core.role() != Role.LEADER)) {
@@ -300,6 +307,12 @@
           .tick(state, core.term(), core.confirmedAge(now), () -> duties.liveDaemonNames(now), now)
           .forEach(this::proposeInternal);
     }
+  }
+
+  /** Tells the watchers how old the view is, after everything that is committed was applied. */
+  private void sendFreshnessIfDue(Instant now) {
+    viewConfirmedAge = core.confirmedAge(now);
+    viewConfirmedAgeAt = now;
     if (!now.isBefore(nextFreshness)) {
       nextFreshness = now.plus(FRESHNESS_INTERVAL);
       viewStream.sendFreshness(state.index(), viewAgeMillis(now));
@@ -460,6 +473,6 @@
   }
 
   private long viewAgeMillis(Instant now) {
-    return core.confirmedAge(now).toMillis();
+    return viewConfirmedAge.plus(Duration.between(viewConfirmedAgeAt, now)).toMillis();
   }
 }
