Never join the beginning of a second answer of a target to the next one

Cause: the HTTP client codec keeps an incomplete head in its buffer. A target sends a whole answer and the beginning of a second one in a segment; the decoder emits nothing for it, the connection is pooled, and the next answer is appended: the status of the first stands before the headers of the second, with the right id. The same happens if the beginning comes after the next request was sent.

Change: a connection is reused only if the decoder holds nothing behind a complete answer and nothing waits on the socket when the next request is to be sent. A head that holds a second status line in its version, reason or a header fails the call: each head that is joined from two has one, wherever the first was cut. Lines and a counter tell where such bytes are found.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -86,6 +86,15 @@
     (isLeaving ? targetsLeaving : targetsPaused).inc();
   }
 
+  /**
+   * Records bytes of a target that belong to no response.
+   *
+   * @param cause where they were found
+   */
+  public void unexpectedBytes(String cause) {
+    registry.counter("unexpected_target_bytes_total." + cause).inc();
+  }
+
   public void retried() {
     retries.inc();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -41,7 +41,10 @@
   /** Creates a client with its own connection pool. */
   public static BufferingHttpClient create(
       EventLoop loop, RelayProtocol protocol, InstantSource clock) {
-    return new BufferingHttpClient(loop, new TargetConnectionPool(loop, protocol, clock), clock);
+    return new BufferingHttpClient(
+        loop,
+        new TargetConnectionPool(loop, protocol, UnexpectedBytesListener.none(), clock),
+        clock);
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -94,7 +94,9 @@
   private TargetConnectionPool targetPool(Channel channel) {
     return targetPools.computeIfAbsent(
         channel.eventLoop(),
-        loop -> new TargetConnectionPool(loop, relay.protocol(), relay.clock()));
+        loop ->
+            new TargetConnectionPool(
+                loop, relay.protocol(), relay::recordUnexpectedBytes, relay.clock()));
   }
 
   /** Closes each connection after its next response from now on. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -11,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
@@ -27,6 +29,8 @@
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.TargetNotice;
 import org.geraniumwharf.retry.RetryBudget;
+import org.geraniumwharf.schema.state.TargetRecord;
+import org.geraniumwharf.schema.targets.Announcement;
 
 /** State that all exchanges of one instance share. Thread-safe: each table has its own lock. */
 final class RelayState {
@@ -172,6 +176,22 @@
             .with("view", admission.routing().view().index()));
   }
 
+  /** Records bytes of a target that belong to no response. */
+  void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
+    metrics.unexpectedBytes(bytes.cause().wireName());
+    bytes.log(log, targetAt(bytes.address()));
+  }
+
+  /** Returns the targets at an address; a request to one that has gone may still be running. */
+  private String targetAt(InetSocketAddress address) {
+    String text = address.getAddress().getHostAddress() + ":" + address.getPort();
+    return admission.routing().view().targets().stream()
+        .map(TargetRecord::announcement)
+        .filter(announcement -> announcement.address().equals(text))
+        .map(Announcement::id)
+        .collect(Collectors.joining(","));
+  }
+
   DaemonMetrics metrics() {
     return metrics;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -1,7 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
@@ -48,8 +47,10 @@
 
   private static final int MAX_INTERIM_RESPONSES = 8;
 
-  private final Channel channel;
+  private final TargetSocketChannel channel;
+  private final TargetResponseDecoder decoder;
   private final RelayProtocol protocol;
+  private final UnexpectedBytesListener unexpectedBytes;
   private final InstantSource clock;
   private final Instant openedAt;
   private Optional<ResponseListener> listener = Optional.empty();
@@ -91,9 +92,16 @@
     void onFailure(String cause);
   }
 
-  TargetConnection(Channel channel, RelayProtocol protocol, InstantSource clock) {
+  TargetConnection(
+      TargetSocketChannel channel,
+      TargetResponseDecoder decoder,
+      RelayProtocol protocol,
+      UnexpectedBytesListener unexpectedBytes,
+      InstantSource clock) {
     this.channel = channel;
+    this.decoder = decoder;
     this.protocol = protocol;
+    this.unexpectedBytes = unexpectedBytes;
     this.clock = clock;
     this.openedAt = clock.instant();
   }
@@ -124,6 +132,7 @@
   private boolean isAcceptable(int receivedBytes) {
     uselessBytes += receivedBytes;
     if (listener.isEmpty()) {
+      recordUnexpected(receivedBytes, UnexpectedBytesListener.Cause.IDLE);
       fail("the target sent bytes without a request");
       return false;
     }
@@ -134,6 +143,14 @@
     return true;
   }
 
+  private void recordUnexpected(int count, UnexpectedBytesListener.Cause cause) {
+    if (channel.isActive()) {
+      unexpectedBytes.received(
+          new UnexpectedBytesListener.UnexpectedBytes(
+              channel.remoteAddress(), requestId, count, cause));
+    }
+  }
+
   /** Sends a request and takes ownership of it. */
   void send(FullHttpRequest request, String id, ResponseListener newListener) {
     listener = Optional.of(newListener);
@@ -142,12 +159,24 @@
     isDiscarding = false;
     uselessBytes = 0;
     interimResponses = 0;
+    decoder.requestSent(request.method());
     requestWrite = channel.writeAndFlush(request);
   }
 
-  /** Returns whether another request may be sent now. */
+  /**
+   * Returns whether another request may be sent now. The connection must be closed if not, since
+   * input that was waiting is lost.
+   */
   boolean isUsable(Instant now) {
-    return channel.isActive() && isReusable && listener.isEmpty() && now.isBefore(idleExpiresAt);
+    return isPoolable() && now.isBefore(idleExpiresAt) && !hasUnexpectedInput();
+  }
+
+  private boolean hasUnexpectedInput() {
+    int count = channel.readUnexpected();
+    if (count > 0) {
+      recordUnexpected(count, UnexpectedBytesListener.Cause.BEFORE_REQUEST);
+    }
+    return count != 0;
   }
 
   /** Returns whether the connection may be returned to the pool. */
@@ -195,6 +224,11 @@
   }
 
   private void readHead(HttpResponse head) {
+    if (TargetResponseDecoder.isJoinedFromTwo(head)) {
+      recordUnexpected(decoder.bufferedBytes(), UnexpectedBytesListener.Cause.JOINED_HEAD);
+      fail("the head of the answer holds another one");
+      return;
+    }
     if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       isDiscarding = true;
       interimResponses++;
@@ -211,6 +245,7 @@
     listener.get().onNotice(response.notice());
     isDiscarding = response.requestId().filter(id -> !id.equals(requestId)).isPresent();
     if (isDiscarding) {
+      recordUnexpected(decoder.bufferedBytes(), UnexpectedBytesListener.Cause.OTHER_RESPONSE);
       isReusable = false;
       return;
     }
@@ -271,7 +306,11 @@
     listener = Optional.empty();
     isHeadReceived = false;
     completedResponses++;
-    if (!requestWrite.isDone()) {
+    int bytesBehind = decoder.bufferedBytes();
+    if (bytesBehind > 0) {
+      recordUnexpected(bytesBehind, UnexpectedBytesListener.Cause.BEHIND_RESPONSE);
+    }
+    if (bytesBehind > 0 || !requestWrite.isDone()) {
       isReusable = false;
     }
     idleExpiresAt = clock.instant().plus(idleTimeout);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -6,10 +6,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.time.Instant;
@@ -29,9 +27,6 @@
 final class TargetConnectionPool {
 
   private static final int CONNECT_TIMEOUT_MILLIS = 700;
-  private static final int MAX_INITIAL_LINE_BYTES = 8192;
-  private static final int MAX_HEAD_BYTES = 64 << 10;
-  private static final int MAX_CHUNK_BYTES = 64 << 10;
 
   /** Idle time and interval of the TCP keep-alive probes that detect an unresponsive peer. */
   private static final int KEEP_ALIVE_PROBE_SECONDS = 1;
@@ -40,12 +35,18 @@
 
   private final EventLoop loop;
   private final RelayProtocol protocol;
+  private final UnexpectedBytesListener unexpectedBytes;
   private final InstantSource clock;
   private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
 
-  TargetConnectionPool(EventLoop loop, RelayProtocol protocol, InstantSource clock) {
+  TargetConnectionPool(
+      EventLoop loop,
+      RelayProtocol protocol,
+      UnexpectedBytesListener unexpectedBytes,
+      InstantSource clock) {
     this.loop = loop;
     this.protocol = protocol;
+    this.unexpectedBytes = unexpectedBytes;
     this.clock = clock;
   }
 
@@ -106,7 +107,7 @@
   private Bootstrap bootstrap() {
     return new Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel.class)
+        .channelFactory(TargetSocketChannel::new)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
@@ -116,16 +117,17 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(
-            new ChannelInitializer<SocketChannel>() {
+            new ChannelInitializer<TargetSocketChannel>() {
               @Override
-              protected void initChannel(SocketChannel channel) {
-                TargetConnection connection = new TargetConnection(channel, protocol, clock);
+              protected void initChannel(TargetSocketChannel channel) {
+                TargetResponseDecoder decoder = new TargetResponseDecoder();
+                TargetConnection connection =
+                    new TargetConnection(channel, decoder, protocol, unexpectedBytes, clock);
                 channel
                     .pipeline()
                     .addLast(connection.receivedBytesHandler())
-                    .addLast(
-                        new HttpClientCodec(
-                            MAX_INITIAL_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
+                    .addLast(decoder)
+                    .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
             });
--- /dev/null
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -0,0 +1,70 @@
+package org.geraniumwharf.internal.relay;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Decodes the responses of a target. Unlike the client codec of the library it tells whether it
+ * holds bytes behind a complete response, which would be put before the next one.
+ */
+final class TargetResponseDecoder extends HttpResponseDecoder {
+
+  private static final int MAX_INITIAL_LINE_BYTES = 8192;
+  private static final int MAX_HEAD_BYTES = 64 << 10;
+  private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+  /** Start of a status line, which is in no status line or header of a single response. */
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
+
+  private boolean isHeadRequest;
+
+  TargetResponseDecoder() {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEAD_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES));
+  }
+
+  /** Sets the method of the request whose response is decoded next. */
+  void requestSent(HttpMethod method) {
+    isHeadRequest = method.equals(HttpMethod.HEAD);
+  }
+
+  /** Returns the number of received bytes that are not decoded yet. */
+  int bufferedBytes() {
+    return actualReadableBytes();
+  }
+
+  /**
+   * Returns whether a head has the status line of another response within, as after the beginning
+   * of a response that was cut.
+   */
+  static boolean isJoinedFromTwo(HttpResponse head) {
+    if (!head.protocolVersion().protocolName().equals("HTTP")
+        || STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+      return true;
+    }
+    for (Map.Entry<String, String> header : head.headers()) {
+      if (STATUS_LINE.matcher(header.getValue()).find()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    boolean isInterim =
+        message instanceof HttpResponse response
+            && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    return super.isContentAlwaysEmpty(message) || (isHeadRequest && !isInterim);
+  }
+}
