Never join two answers of a target in the native client

A caller of the native client could get the status of the first answer on a connection with the body of the next one.

Its check of an idle connection takes waiting input for a sign of health.

Change: an interceptor of both clients fails a call whose reason or headers hold a second status line, which each joined head does, and closes the connection. The call fails although the target answered; the library doesn't tell what it holds unread.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
@@ -37,6 +37,7 @@
         new OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
             .connectTimeout(Duration.ofMillis(250))
+            .addNetworkInterceptor(new JoinedHeadCheck())
             .build());
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -45,6 +45,7 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT)
+            .addNetworkInterceptor(new JoinedHeadCheck())
             .connectionPool(
                 new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
             .build();
