Ask few instances for a whole view at the start, and log the time without news

Without a view each watch begins with a whole one, so a start of all entries could ask every control instance for one at once.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -102,7 +102,8 @@
     if (queue.isEmpty()) {
       removeEnded(plan);
     }
-    plan.next(order(), clock.instant()).ifPresent(name -> start(plan, name));
+    boolean hasView = holder.current().index() > 0;
+    plan.next(order(), hasView, clock.instant()).ifPresent(name -> start(plan, name));
   }
 
   /** Own instance first, then the others from a place that differs between daemons. */
@@ -168,10 +169,11 @@
       directory.learn(freshness.members());
     }
     reachability.accountedFor(watch.instance, received.at());
+    Instant freshBefore = holder.freshAt();
     for (String givenUp : apply(plan, received)) {
       Watch other = watches.get(givenUp);
       other.giveUp();
-      logEnd(other, "no-news");
+      logEnd(other, "no-news", freshBefore);
     }
   }
 
@@ -197,13 +199,12 @@
       watches.remove(watch.instance);
       if (!watch.isGivenUp) {
         plan.ended(watch.instance, clock.instant());
-        logEnd(watch, "closed");
+        logEnd(watch, "closed", holder.freshAt());
       }
     }
   }
 
-  private void logEnd(Watch watch, String cause) {
-    Instant freshAt = holder.freshAt();
+  private void logEnd(Watch watch, String cause, Instant freshAt) {
     long newsAge =
         freshAt.equals(Instant.MIN) ? -1 : Duration.between(freshAt, clock.instant()).toMillis();
     log.info(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
@@ -28,6 +28,9 @@
 
   static final Duration STAGGER = Duration.ofMillis(150);
 
+  /** Instead of {@link #STAGGER} without a view, since each watch then begins with a whole one. */
+  static final Duration STAGGER_WITHOUT_VIEW = NEWS_TIMEOUT;
+
   /** Time before an instance is watched again whose watch ended by itself. */
   static final Duration RETRY_PAUSE = Duration.ofMillis(300);
 
@@ -53,10 +56,11 @@
    * Returns the instance to watch now, if any, and takes it as watched.
    *
    * @param known instances in the order in which those that are new here are tried
+   * @param hasView whether any view was received yet
    */
-  Optional<String> next(List<String> known, Instant now) {
+  Optional<String> next(List<String> known, boolean hasView, Instant now) {
     updateOrder(known);
-    if (!isDue(now)) {
+    if (!isDue(hasView ? STAGGER : STAGGER_WITHOUT_VIEW, now)) {
       return Optional.empty();
     }
     Optional<String> next = order.stream().filter(name -> isCandidate(name, now)).findFirst();
@@ -73,11 +77,11 @@
     known.stream().filter(name -> !order.contains(name)).forEach(order::add);
   }
 
-  private boolean isDue(Instant now) {
+  private boolean isDue(Duration stagger, Instant now) {
     if (watchedSince.isEmpty()) {
       return true;
     }
-    return !isNews(newsAt, now) && !now.isBefore(lastStart.plus(STAGGER));
+    return !isNews(newsAt, now) && !now.isBefore(lastStart.plus(stagger));
   }
 
   private boolean isCandidate(String name, Instant now) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
@@ -25,38 +25,50 @@
 
   @Test
   void should_watch_one_instance_while_it_has_news() {
-    plan.next(NAMES, NOW);
+    plan.next(NAMES, true, NOW);
     plan.received("c-1", NOW.plusMillis(500), NOW.plusMillis(600));
 
-    assertEquals(Optional.empty(), plan.next(NAMES, NOW.plusMillis(1390)));
+    assertEquals(Optional.empty(), plan.next(NAMES, true, NOW.plusMillis(1390)));
   }
 
   @Test
   void should_count_news_from_its_confirmation() {
-    plan.next(NAMES, NOW);
+    plan.next(NAMES, true, NOW);
     plan.received("c-1", NOW.plusMillis(100), NOW.plusMillis(990));
 
-    assertEquals(Optional.of("c-2"), plan.next(NAMES, NOW.plusMillis(1000)));
+    assertEquals(Optional.of("c-2"), plan.next(NAMES, true, NOW.plusMillis(1000)));
   }
 
   @Test
   void should_watch_one_more_at_a_time_while_none_has_news() {
-    plan.next(NAMES, NOW);
+    plan.next(NAMES, true, NOW);
 
-    Optional<String> second = plan.next(NAMES, NOW.plusMillis(900));
-    Optional<String> tooEarly = plan.next(NAMES, NOW.plusMillis(1040));
-    Optional<String> third = plan.next(NAMES, NOW.plusMillis(1050));
+    Optional<String> second = plan.next(NAMES, true, NOW.plusMillis(900));
+    Optional<String> tooEarly = plan.next(NAMES, true, NOW.plusMillis(1040));
+    Optional<String> third = plan.next(NAMES, true, NOW.plusMillis(1050));
 
     assertEquals(Optional.of("c-2"), second);
     assertEquals(Optional.empty(), tooEarly);
     assertEquals(Optional.of("c-3"), third);
   }
 
+  @Test
+  void should_ask_few_instances_for_a_whole_view_at_the_start() {
+    plan.next(NAMES, false, NOW);
+    plan.next(NAMES, false, NOW.plusMillis(900));
+
+    Optional<String> tooEarly = plan.next(NAMES, false, NOW.plusMillis(1790));
+    Optional<String> third = plan.next(NAMES, false, NOW.plusMillis(1800));
+
+    assertEquals(Optional.empty(), tooEarly);
+    assertEquals(Optional.of("c-3"), third);
+  }
+
   @Test
   void should_give_up_all_others_once_one_has_news() {
-    plan.next(NAMES, NOW);
-    plan.next(NAMES, NOW.plusMillis(900));
-    plan.next(NAMES, NOW.plusMillis(1050));
+    plan.next(NAMES, true, NOW);
+    plan.next(NAMES, true, NOW.plusMillis(900));
+    plan.next(NAMES, true, NOW.plusMillis(1050));
 
     assertEquals(
         List.of("c-1", "c-2"), plan.received("c-3", NOW.plusMillis(1000), NOW.plusMillis(1100)));
@@ -64,14 +76,14 @@
 
   @Test
   void should_try_an_instance_that_was_given_up_last_whatever_members_are_learned() {
-    plan.next(NAMES.subList(0, 2), NOW);
-    plan.next(NAMES.subList(0, 2), NOW.plusMillis(900));
+    plan.next(NAMES.subList(0, 2), true, NOW);
+    plan.next(NAMES.subList(0, 2), true, NOW.plusMillis(900));
     plan.received("c-2", NOW.plusMillis(1000), NOW.plusMillis(1000));
-    plan.next(List.of("c-1", "c-5", "c-4", "c-3", "c-2"), NOW.plusMillis(1000));
+    plan.next(List.of("c-1", "c-5", "c-4", "c-3", "c-2"), true, NOW.plusMillis(1000));
 
     List<String> tried = new ArrayList<>();
     for (int millis = 1900; millis < 3000; millis += 10) {
-      plan.next(NAMES, NOW.plusMillis(millis)).ifPresent(tried::add);
+      plan.next(NAMES, true, NOW.plusMillis(millis)).ifPresent(tried::add);
     }
 
     assertEquals(List.of("c-1", "c-5", "c-4", "c-3"), tried);
@@ -79,10 +91,10 @@
 
   @Test
   void should_try_the_next_at_once_when_a_watch_ends() {
-    plan.next(NAMES, NOW);
+    plan.next(NAMES, true, NOW);
     plan.ended("c-1", NOW.plusMillis(10));
 
-    assertEquals(Optional.of("c-2"), plan.next(NAMES, NOW.plusMillis(10)));
+    assertEquals(Optional.of("c-2"), plan.next(NAMES, true, NOW.plusMillis(10)));
   }
 
   /**
@@ -166,7 +178,7 @@
     }
 
     private void start(Instant now) {
-      Optional<String> next = plan.next(NAMES, now);
+      Optional<String> next = plan.next(NAMES, true, now);
       if (next.isEmpty()) {
         return;
       }
