Put the file operations of a replica's storage behind an interface

No change of behaviour: SystemDisk does what FileReplicaStorage, SnapshotFile and RecordReader did with channels and paths.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
@@ -1,11 +1,7 @@
 package org.geraniumwharf.internal.storage;
 
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Optional;
 import org.geraniumwharf.internal.raft.RaftSnapshot;
@@ -22,9 +18,9 @@
   private static final String LOG_NAME = "log";
   private static final String NEW_LOG_NAME = "log.new";
 
-  private final DataFolder folder;
-  private final FolderSync folderSync;
-  private FileChannel logChannel;
+  private final Path folder;
+  private final Disk disk;
+  private DiskFile log;
 
   /** Whether a loss of power leaves the folder with the name of the log that is in use. */
   private boolean isLogNameDurable = true;
@@ -33,14 +29,14 @@
   private Optional<RaftSnapshot> latestSnapshot;
 
   private FileReplicaStorage(
-      DataFolder folder,
-      FolderSync folderSync,
-      FileChannel logChannel,
+      Path folder,
+      Disk disk,
+      DiskFile log,
       long validBytes,
       Optional<RaftSnapshot> latestSnapshot) {
     this.folder = folder;
-    this.folderSync = folderSync;
-    this.logChannel = logChannel;
+    this.disk = disk;
+    this.log = log;
     this.validBytes = validBytes;
     this.latestSnapshot = latestSnapshot;
   }
@@ -55,24 +51,21 @@
    *     damaged; a damaged instance must be rebuilt from the others
    */
   public static OpenResult open(DataFolder folder) throws StorageException {
-    return open(folder, DataFolder::syncFolder);
+    return open(folder.path(), SystemDisk.create());
   }
 
-  static OpenResult open(DataFolder folder, FolderSync folderSync) throws StorageException {
-    Path file = folder.path().resolve(LOG_NAME);
+  static OpenResult open(Path folder, Disk disk) throws StorageException {
+    Path file = folder.resolve(LOG_NAME);
     try {
-      Optional<RaftSnapshot> snapshot = SnapshotFile.read(folder.path());
-      FileChannel channel =
-          FileChannel.open(
-              file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-      RecordReader reader = RecordReader.of(channel);
+      Optional<RaftSnapshot> snapshot = SnapshotFile.read(disk, folder);
+      DiskFile log = disk.open(file, false);
+      RecordReader reader = RecordReader.of(log);
       LogReplay replay = LogReplay.of(file, reader, snapshot);
-      channel.truncate(replay.validBytes());
-      channel.position(replay.validBytes());
-      channel.force(true);
-      folderSync.sync(folder.path());
+      log.truncate(replay.validBytes());
+      log.sync();
+      disk.syncFolder(folder);
       FileReplicaStorage storage =
-          new FileReplicaStorage(folder, folderSync, channel, replay.validBytes(), snapshot);
+          new FileReplicaStorage(folder, disk, log, replay.validBytes(), snapshot);
       RecoveredState recovered =
           new RecoveredState(
               replay.hardState(),
@@ -91,10 +84,9 @@
       throws StorageException {
     try {
       syncLogName();
-      logChannel.truncate(validBytes);
-      logChannel.position(validBytes);
-      long written = writeRecords(logChannel, hardState, entries);
-      logChannel.force(false);
+      log.truncate(validBytes);
+      long written = writeRecords(log, validBytes, hardState, entries);
+      log.syncData();
       validBytes += written;
     } catch (IOException e) {
       throw new StorageException("cannot append to the log: " + e, e);
@@ -105,7 +97,7 @@
   public void saveSnapshot(RaftSnapshot snapshot, HardState hardState, List<LogEntry> retained)
       throws StorageException {
     try {
-      SnapshotFile.write(folder.path(), snapshot, folderSync);
+      SnapshotFile.write(disk, folder, snapshot);
       latestSnapshot = Optional.of(snapshot);
       replaceLog(hardState, retained);
       syncLogName();
@@ -119,29 +111,20 @@
    * later: the file of the one before has no name any more.
    */
   private void replaceLog(HardState hardState, List<LogEntry> retained) throws IOException {
-    Path newLog = folder.path().resolve(NEW_LOG_NAME);
-    FileChannel channel =
-        FileChannel.open(
-            newLog,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING);
+    Path path = folder.resolve(NEW_LOG_NAME);
+    DiskFile newLog = disk.open(path, true);
     long written;
     try {
-      written = writeRecords(channel, Optional.of(hardState), retained);
-      channel.force(true);
-      Files.move(
-          newLog,
-          folder.path().resolve(LOG_NAME),
-          StandardCopyOption.ATOMIC_MOVE,
-          StandardCopyOption.REPLACE_EXISTING);
+      written = writeRecords(newLog, 0, Optional.of(hardState), retained);
+      newLog.sync();
+      disk.move(path, folder.resolve(LOG_NAME));
     } catch (IOException e) {
-      channel.close();
-      Files.deleteIfExists(newLog);
+      newLog.close();
+      disk.deleteIfExists(path);
       throw e;
     }
-    FileChannel replaced = logChannel;
-    logChannel = channel;
+    DiskFile replaced = log;
+    log = newLog;
     validBytes = written;
     isLogNameDurable = false;
     replaced.close();
@@ -150,21 +133,21 @@
   /** Must succeed before anything in the log in use counts as durable. */
   private void syncLogName() throws IOException {
     if (!isLogNameDurable) {
-      folderSync.sync(folder.path());
+      disk.syncFolder(folder);
       isLogNameDurable = true;
     }
   }
 
   /** Encodes one record at a time, so that only one is held in memory besides the entries. */
   private static long writeRecords(
-      FileChannel channel, Optional<HardState> hardState, List<LogEntry> entries)
+      DiskFile file, long position, Optional<HardState> hardState, List<LogEntry> entries)
       throws IOException {
     long written = 0;
     if (hardState.isPresent()) {
-      written += RecordFormat.write(channel, LogRecord.encode(hardState.get()));
+      written += RecordFormat.write(file, position + written, LogRecord.encode(hardState.get()));
     }
     for (LogEntry entry : entries) {
-      written += RecordFormat.write(channel, LogRecord.encode(entry));
+      written += RecordFormat.write(file, position + written, LogRecord.encode(entry));
     }
     return written;
   }
@@ -176,13 +159,17 @@
 
   @Override
   public long usableBytes() throws StorageException {
-    return folder.usableBytes();
+    try {
+      return disk.usableBytes(folder);
+    } catch (IOException e) {
+      throw new StorageException("cannot read the free space of " + folder, e);
+    }
   }
 
   @Override
   public void close() throws StorageException {
     try {
-      logChannel.close();
+      log.close();
     } catch (IOException e) {
       throw new StorageException("cannot close the log", e);
     }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.util.zip.CRC32C;
 
 /**
@@ -29,15 +28,15 @@
   }
 
   /**
-   * Writes one record at the position of a channel.
+   * Writes one record at a position of a file.
    *
    * @return bytes written
    */
-  static long write(FileChannel channel, byte[] body) throws IOException {
+  static long write(DiskFile file, long position, byte[] body) throws IOException {
     ByteBuffer record = encode(body);
     long written = 0;
     while (record.hasRemaining()) {
-      written += channel.write(record);
+      written += file.write(record, position + written);
     }
     return written;
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordReader.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordReader.java
@@ -3,7 +3,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.util.Optional;
 
 /**
@@ -14,20 +13,20 @@
 
   private static final int WINDOW_BYTES = 64 << 10;
 
-  private final FileChannel channel;
+  private final DiskFile file;
   private final long size;
   private final byte[] window = new byte[WINDOW_BYTES];
   private long windowStart;
   private int windowLength;
 
-  private RecordReader(FileChannel channel, long size) {
-    this.channel = channel;
+  private RecordReader(DiskFile file, long size) {
+    this.file = file;
     this.size = size;
   }
 
-  /** Reads a file up to its present size; the position of the channel is not used. */
-  static RecordReader of(FileChannel channel) throws IOException {
-    return new RecordReader(channel, channel.size());
+  /** Reads a file up to its present size. */
+  static RecordReader of(DiskFile file) throws IOException {
+    return new RecordReader(file, file.size());
   }
 
   /** Returns the size of the file, in bytes. */
@@ -87,7 +86,7 @@
     windowStart = position;
     windowLength = 0;
     while (buffer.hasRemaining() && position + windowLength < size) {
-      int count = channel.read(buffer, position + windowLength);
+      int count = file.read(buffer, position + windowLength);
       if (count < 0) {
         throw new EOFException("the file became shorter while it was read");
       }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/SnapshotFile.java
@@ -1,11 +1,7 @@
 package org.geraniumwharf.internal.storage;
 
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import org.geraniumwharf.internal.raft.RaftSnapshot;
 import org.geraniumwharf.schema.Codec;
@@ -23,20 +19,23 @@
   private SnapshotFile() {}
 
   /** Returns the snapshot; empty if the folder has none. */
-  static Optional<RaftSnapshot> read(Path folder) throws StorageException {
+  static Optional<RaftSnapshot> read(Disk disk, Path folder) throws StorageException {
     Path file = folder.resolve(NAME);
-    if (!Files.exists(file)) {
-      return Optional.empty();
+    try {
+      return disk.exists(file) ? Optional.of(decode(disk, file)) : Optional.empty();
+    } catch (IOException e) {
+      throw new StorageException("cannot read the snapshot " + file + ": " + e, e);
     }
-    try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
+  }
+
+  private static RaftSnapshot decode(Disk disk, Path path) throws StorageException, IOException {
+    try (DiskFile file = disk.open(path, false)) {
       byte[] body =
-          RecordReader.of(channel)
+          RecordReader.of(file)
               .recordAt(0)
-              .orElseThrow(() -> new StorageException("the snapshot is damaged: " + file));
+              .orElseThrow(() -> new StorageException("the snapshot is damaged: " + path));
       StateSnapshot state = Codec.messagePack().decode(body, StateSnapshot.class);
-      return Optional.of(RaftSnapshot.of(state.index(), state.term(), state.membership(), body));
-    } catch (IOException e) {
-      throw new StorageException("cannot read the snapshot " + file + ": " + e, e);
+      return RaftSnapshot.of(state.index(), state.term(), state.membership(), body);
     }
   }
 
@@ -45,31 +44,23 @@
    *
    * @throws IOException if that failed; the folder holds one of the two
    */
-  static void write(Path folder, RaftSnapshot snapshot, FolderSync folderSync) throws IOException {
+  static void write(Disk disk, Path folder, RaftSnapshot snapshot) throws IOException {
     Path temporary = folder.resolve(TEMPORARY_NAME);
     try {
-      writeTemporary(temporary, snapshot);
-      Files.move(
-          temporary,
-          folder.resolve(NAME),
-          StandardCopyOption.ATOMIC_MOVE,
-          StandardCopyOption.REPLACE_EXISTING);
+      writeTemporary(disk, temporary, snapshot);
+      disk.move(temporary, folder.resolve(NAME));
     } catch (IOException e) {
-      Files.deleteIfExists(temporary);
+      disk.deleteIfExists(temporary);
       throw e;
     }
-    folderSync.sync(folder);
+    disk.syncFolder(folder);
   }
 
-  private static void writeTemporary(Path temporary, RaftSnapshot snapshot) throws IOException {
-    try (FileChannel channel =
-        FileChannel.open(
-            temporary,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
-      var unused = RecordFormat.write(channel, snapshot.data());
-      channel.force(true);
+  private static void writeTemporary(Disk disk, Path temporary, RaftSnapshot snapshot)
+      throws IOException {
+    try (DiskFile file = disk.open(temporary, true)) {
+      var unused = RecordFormat.write(file, 0, snapshot.data());
+      file.sync();
     }
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FileReplicaStorageTest.java
@@ -101,7 +101,7 @@
   void should_survive_a_crash_between_the_snapshot_and_its_log()
       throws StorageException, IOException {
     write(storage -> storage.append(Optional.of(TERM_2), entries(1, 6, 1)));
-    SnapshotFile.write(folder, snapshot(4), DataFolder::syncFolder);
+    SnapshotFile.write(SystemDisk.create(), folder, snapshot(4));
 
     List<Long> indexes = reopen().entries().stream().map(LogEntry::index).toList();
 
@@ -118,7 +118,9 @@
     AtomicInteger syncs = new AtomicInteger();
     try (DataFolder data = DataFolder.open(folder)) {
       FileReplicaStorage storage =
-          FileReplicaStorage.open(data, path -> failAt(LOG_NAME_SYNC, syncs)).storage();
+          FileReplicaStorage.open(
+                  data.path(), SystemDisk.syncingFoldersBy(path -> failAt(LOG_NAME_SYNC, syncs)))
+              .storage();
       storage.append(Optional.of(TERM_2), entries(1, 6, 1));
 
       assertThrows(
