Start after a loss of power that left holes in the last append

What was seen: after a loss of power a replica refused its log for good ("is damaged at byte ..., before its last record") and had to be rebuilt by hand. Cause: each record of an append is a write of its own, and of the writes after the last sync any may be missing or torn. The replay took a whole record behind an unreadable one for damage of the synced part. Change: each record tells how many bytes of the file were synced before it was written. A record behind the damage refuses the log only if it was written when the place of the damage was synced. Behind a synced append stands a note that all of it is synced, which the next append overwrites, so that damage in the last append of a process that ended is still refused; a new log holds the note before it gets its name. Why it works: what the discarded part holds belongs to one append whose sync did not return, so nothing of it was acknowledged. Not told apart: damage in the last append when also its note was lost with the power.

Cost: one write of 21 bytes an append, no sync.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
@@ -45,10 +45,11 @@
   public record OpenResult(FileReplicaStorage storage, RecoveredState recovered) {}
 
   /**
-   * Opens the storage in a folder. An incomplete last record, left by a crash, is truncated.
+   * Opens the storage in a folder. What a loss of power left of the last append, from its first
+   * unreadable record on, is truncated.
    *
-   * @throws StorageException if the files cannot be read, or if a record before the last is
-   *     damaged; a damaged instance must be rebuilt from the others
+   * @throws StorageException if the files cannot be read, or if what was synced before is damaged;
+   *     a damaged instance must be rebuilt from the others
    */
   public static OpenResult open(DataFolder folder) throws StorageException {
     return open(folder.path(), SystemDisk.create());
@@ -66,13 +67,14 @@
       disk.syncFolder(folder);
       FileReplicaStorage storage =
           new FileReplicaStorage(folder, disk, log, replay.validBytes(), snapshot);
+      storage.markSynced();
       RecoveredState recovered =
           new RecoveredState(
               replay.hardState(),
               snapshot,
               replay.entries(),
               snapshot.isEmpty() && replay.isEmpty(),
-              reader.size() - replay.validBytes());
+              reader.size() - replay.readBytes());
       return new OpenResult(storage, recovered);
     } catch (IOException e) {
       throw new StorageException("cannot open the log " + file + ": " + e, e);
@@ -84,13 +86,37 @@
       throws StorageException {
     try {
       syncLogName();
-      log.truncate(validBytes);
+      removeFailedAppend();
       long written = writeRecords(log, validBytes, hardState, entries);
       log.syncData();
       validBytes += written;
     } catch (IOException e) {
       throw new StorageException("cannot append to the log: " + e, e);
     }
+    markSynced();
+  }
+
+  /** Removes what is behind the synced part, unless it is a note that the next record covers. */
+  private void removeFailedAppend() throws IOException {
+    if (log.size() > validBytes + LogRecord.SYNCED_FILE_BYTES) {
+      log.truncate(validBytes);
+    }
+  }
+
+  /**
+   * Notes behind the log that all of it is synced, so that damage is told from an append that was
+   * under way when the power was lost. The next append overwrites the note. Without it the log is
+   * as durable.
+   */
+  private void markSynced() {
+    if (validBytes == 0) {
+      return;
+    }
+    try {
+      var unused = RecordFormat.write(log, validBytes, LogRecord.encodeSynced(validBytes));
+    } catch (IOException e) {
+      // A full or failing disk shows at the next append.
+    }
   }
 
   @Override
@@ -116,6 +142,7 @@
     long written;
     try {
       written = writeRecords(newLog, 0, Optional.of(hardState), retained);
+      var unused = RecordFormat.write(newLog, written, LogRecord.encodeSynced(written));
       newLog.sync();
       disk.move(path, folder.resolve(LOG_NAME));
     } catch (IOException e) {
@@ -138,16 +165,22 @@
     }
   }
 
-  /** Encodes one record at a time, so that only one is held in memory besides the entries. */
+  /**
+   * Writes from the end of the synced part on. Encodes one record at a time, so that only one is
+   * held in memory besides the entries.
+   */
   private static long writeRecords(
-      DiskFile file, long position, Optional<HardState> hardState, List<LogEntry> entries)
+      DiskFile file, long syncedBytes, Optional<HardState> hardState, List<LogEntry> entries)
       throws IOException {
     long written = 0;
     if (hardState.isPresent()) {
-      written += RecordFormat.write(file, position + written, LogRecord.encode(hardState.get()));
+      written +=
+          RecordFormat.write(
+              file, syncedBytes + written, LogRecord.encode(hardState.get(), syncedBytes));
     }
     for (LogEntry entry : entries) {
-      written += RecordFormat.write(file, position + written, LogRecord.encode(entry));
+      written +=
+          RecordFormat.write(file, syncedBytes + written, LogRecord.encode(entry, syncedBytes));
     }
     return written;
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.geraniumwharf.internal.raft.RaftSnapshot;
 import org.geraniumwharf.schema.state.HardState;
 import org.geraniumwharf.schema.state.LogEntry;
@@ -19,6 +20,7 @@
   private final List<LogEntry> entries = new ArrayList<>();
   private HardState hardState = INITIAL_HARD_STATE;
   private long offset;
+  private long readBytes;
 
   private LogReplay(Path file, long baseIndex) {
     this.file = file;
@@ -30,7 +32,7 @@
    *
    * @param file name of the file in error messages
    * @throws IOException if the file cannot be read
-   * @throws StorageException if a record before the last is damaged
+   * @throws StorageException if a record before the last append is damaged
    */
   static LogReplay of(Path file, RecordReader reader, Optional<RaftSnapshot> snapshot)
       throws StorageException, IOException {
@@ -46,24 +48,43 @@
         checkTornTail(reader);
         return;
       }
+      readBytes += RecordFormat.HEADER_BYTES + record.get().length;
+      if (LogRecord.isSynced(record.get())) {
+        checkTornTail(reader);
+        return;
+      }
       apply(record.get());
-      offset += RecordFormat.HEADER_BYTES + record.get().length;
+      offset = readBytes;
     }
   }
 
-  /** Accepts an incomplete last record, and rejects a log with a valid record after the damage. */
+  /**
+   * Accepts what a loss of power leaves of the last append, of which any record may be missing or
+   * torn, whichever are whole. None of it was acknowledged from here on. Rejects a log with a
+   * record after the damage that was written when the place of the damage was synced already.
+   */
   private void checkTornTail(RecordReader reader) throws StorageException, IOException {
-    if (reader.hasRecordAfter(offset)) {
-      throw new StorageException(
-          "the log "
-              + file
-              + " is damaged at byte "
-              + offset
-              + ", before its last record; move the data folder away and restart, the instance"
-              + " is then rebuilt from the others");
+    OptionalLong next = reader.nextRecordAfter(offset);
+    while (next.isPresent()) {
+      long position = next.getAsLong();
+      byte[] record = reader.recordAt(position).orElseThrow();
+      if (LogRecord.syncedBytes(record, position) > offset) {
+        throw damaged();
+      }
+      next = reader.nextRecordAfter(position + RecordFormat.HEADER_BYTES + record.length - 1);
     }
   }
 
+  private StorageException damaged() {
+    return new StorageException(
+        "the log "
+            + file
+            + " is damaged at byte "
+            + offset
+            + ", before its last record; move the data folder away and restart, the instance"
+            + " is then rebuilt from the others");
+  }
+
   private void apply(byte[] record) throws StorageException {
     try {
       if (LogRecord.isHardState(record)) {
@@ -110,7 +131,13 @@
     return entries;
   }
 
+  /** Returns the length of the file up to the end of the last hard state or entry. */
   long validBytes() {
     return offset;
   }
+
+  /** Returns the position from which on nothing is of use. */
+  long readBytes() {
+    return readBytes;
+  }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordFormat.java
@@ -7,7 +7,7 @@
 /**
  * Layout of one record: magic number (4 bytes), length of the body (4), CRC-32C of length and body
  * (4), body. Because of the magic number a reader finds valid records after a damaged one, which
- * distinguishes a damaged file from an incomplete last write.
+ * distinguishes a damaged file from an incomplete last append.
  */
 final class RecordFormat {
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordReader.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecordReader.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Reads the records of a file through a small window, so that a large file is never held in memory
@@ -49,14 +50,14 @@
     return RecordFormat.isChecksumOf(header, body) ? Optional.of(body) : Optional.empty();
   }
 
-  /** Returns whether any valid record starts after an offset. */
-  boolean hasRecordAfter(long offset) throws IOException {
+  /** Returns the position of the first valid record after an offset. */
+  OptionalLong nextRecordAfter(long offset) throws IOException {
     for (long i = offset + 1; i <= size - RecordFormat.HEADER_BYTES; i++) {
       if (byteAt(i) == RecordFormat.FIRST_BYTE && recordAt(i).isPresent()) {
-        return true;
+        return OptionalLong.of(i);
       }
     }
-    return false;
+    return OptionalLong.empty();
   }
 
   private byte byteAt(long position) throws IOException {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecoveredState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/RecoveredState.java
@@ -13,7 +13,7 @@
  * @param snapshot newest durable snapshot
  * @param entries entries after the snapshot
  * @param isNew whether the folder held no state on which other replicas may rely
- * @param cutBytes length of an incomplete last record that was truncated, in bytes
+ * @param cutBytes length of what an incomplete last append left, which was truncated, in bytes
  */
 public record RecoveredState(
     HardState hardState,
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FaultyDisk.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FaultyDisk.java
@@ -70,6 +70,15 @@
     names.values().forEach(content -> content.losePower(kept));
   }
 
+  /** Changes a byte of the log that was synced. */
+  void damage(int position) {
+    names.get(Path.of("folder", "log")).bytes[position] ^= 1;
+  }
+
+  int unsyncedWrites() {
+    return names.values().stream().mapToInt(content -> content.unsynced.size()).sum();
+  }
+
   /** Removes everything. */
   public void wipe() {
     names = new HashMap<>();
