Write again at a start what no sync may have covered

Cause: an append whose sync fails leaves its records in the cache of the system. If the process ends then, the next one reads them, counts them as durable after a sync of its own, and appends behind them. A system may drop what a failed sync did not write, so the later sync covers nothing of it (the platform does not say either way; its pages name refused writes). Change: a start writes the part of the log again that is not known as synced, from the number in the last record on, in pieces of 64 KiB, before its sync. Why it works: the sync at the start covers writes of its own, as an append does when it is repeated.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/FileReplicaStorage.java
@@ -1,6 +1,8 @@
 package org.geraniumwharf.internal.storage;
 
+import java.io.EOFException;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +17,7 @@
  */
 public final class FileReplicaStorage implements ReplicaStorage, AutoCloseable {
 
+  private static final int REWRITE_BYTES = 64 << 10;
   private static final String LOG_NAME = "log";
   private static final String NEW_LOG_NAME = "log.new";
 
@@ -63,6 +66,7 @@
       RecordReader reader = RecordReader.of(log);
       LogReplay replay = LogReplay.of(file, reader, snapshot);
       log.truncate(replay.validBytes());
+      rewrite(log, replay.syncedBytes(), replay.validBytes());
       log.sync();
       disk.syncFolder(folder);
       FileReplicaStorage storage =
@@ -81,6 +85,25 @@
     }
   }
 
+  /**
+   * Writes a part of a file as it is. A process before this one may have written it and failed to
+   * sync it; the next sync need not cover what a failed one did not.
+   */
+  private static void rewrite(DiskFile file, long from, long to) throws IOException {
+    ByteBuffer buffer = ByteBuffer.allocate(REWRITE_BYTES);
+    long position = from;
+    while (position < to) {
+      buffer.clear().limit((int) Math.min(REWRITE_BYTES, to - position));
+      if (file.read(buffer, position) < 0) {
+        throw new EOFException("the file became shorter while it was read");
+      }
+      buffer.flip();
+      while (buffer.hasRemaining()) {
+        position += file.write(buffer, position);
+      }
+    }
+  }
+
   @Override
   public void append(Optional<HardState> hardState, List<LogEntry> entries)
       throws StorageException {
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/storage/LogReplay.java
@@ -21,6 +21,7 @@
   private HardState hardState = INITIAL_HARD_STATE;
   private long offset;
   private long readBytes;
+  private long syncedBytes;
 
   private LogReplay(Path file, long baseIndex) {
     this.file = file;
@@ -50,9 +51,11 @@
       }
       readBytes += RecordFormat.HEADER_BYTES + record.get().length;
       if (LogRecord.isSynced(record.get())) {
+        syncedBytes = offset;
         checkTornTail(reader);
         return;
       }
+      syncedBytes = LogRecord.syncedBytes(record.get(), offset);
       apply(record.get());
       offset = readBytes;
     }
@@ -136,6 +139,11 @@
     return offset;
   }
 
+  /** Returns how much of the file is known to have been synced, whatever ended the process. */
+  long syncedBytes() {
+    return syncedBytes;
+  }
+
   /** Returns the position from which on nothing is of use. */
   long readBytes() {
     return readBytes;
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/LossOfPowerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/LossOfPowerTest.java
@@ -111,6 +111,22 @@
     assertEquals(6, recovered.entries().size());
   }
 
+  /** Guards against a start that trusts what a failed sync left in the cache of the system. */
+  @Test
+  void should_make_durable_at_a_start_what_a_failed_sync_before_it_did_not()
+      throws StorageException {
+    FileReplicaStorage storage = wiped();
+    storage.append(Optional.of(TERM_2), entries(1, 3));
+    appendWithoutSync(storage, entries(4, 8));
+
+    FileReplicaStorage.OpenResult started = disk.openStorage();
+    started.storage().append(Optional.empty(), entries(9, 10));
+    disk.losePower(write -> Kept.NOTHING);
+
+    assertEquals(8, started.recovered().entries().size());
+    assertEquals(10, disk.openStorage().recovered().entries().size());
+  }
+
   /** A log of former versions, whose records don't tell what was synced before them. */
   @Test
   void should_read_the_log_of_a_former_version() throws StorageException, IOException {
