Run the schedules over the product's storage on disks with faults

FaultyDiskScheduleTest runs the seeded schedules with FileReplicaStorage on FaultyDisk: losses of power at any operation, of one or of all replicas, and per seed one of: refused or partial writes, failing syncs, renames or syncs of the folder, a full disk, a slow one. The schedules without disk faults draw the same numbers as before.

--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/RaftSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/RaftSchedule.java
@@ -4,8 +4,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.geraniumwharf.internal.storage.DiskFault;
 import org.geraniumwharf.schema.state.Membership;
 import org.geraniumwharf.schema.state.PruneCommand;
 
@@ -15,10 +18,18 @@
   private static final Instant START = Instant.ofEpochSecond(1_000_000);
   private static final Duration STEP_DURATION = Duration.ofMillis(5);
   private static final int FAULTY_STEPS = 1600;
+  private static final List<DiskFault> DISK_FAULTS = List.of(DiskFault.values());
+  private static final int DISK_FAULT_CHOICES = 80;
   private static final int HEALING_STEPS = 1200;
 
   private final long seed;
   private final SplittableRandom random;
+
+  /** Draws the faults of disks, so that the rest of a schedule does not depend on them. */
+  private final SplittableRandom diskRandom;
+
+  private final Optional<DiskFault> fault;
+  private final Map<String, FaultyReplicaDisk> disks = new TreeMap<>();
   private final SimulatedNetwork network;
   private final SimulatedClients clients;
   private final SafetyChecker checker = new SafetyChecker();
@@ -26,8 +37,10 @@
   private final List<String> voters;
   private Instant now = START;
 
-  private RaftSchedule(long seed) {
+  private RaftSchedule(long seed, Optional<DiskFault> fault) {
     this.seed = seed;
+    this.fault = fault;
+    this.diskRandom = new SplittableRandom(~seed);
     this.random = new SplittableRandom(seed);
     this.network = new SimulatedNetwork(random.split());
     this.clients = new SimulatedClients(random.split());
@@ -39,19 +52,57 @@
     this.voters = List.copyOf(names);
     Membership initial = Membership.of(voters, List.of());
     for (String name : voters) {
-      replicas.add(new SimulatedReplica(name, initial, random.split(), network, checker));
+      replicas.add(
+          new SimulatedReplica(
+              name,
+              initial,
+              random.split(),
+              network,
+              checker,
+              MembershipPolicy.manual(),
+              disk(name)));
+    }
+  }
+
+  private ReplicaDisk disk(String name) {
+    if (fault.isEmpty()) {
+      return new SimulatedDisk();
     }
+    FaultyReplicaDisk disk = FaultyReplicaDisk.create(diskRandom.split());
+    disks.put(name, disk);
+    return disk;
   }
 
-  /** Runs a schedule. An assertion that fails reports the seed. */
+  /** Runs a schedule with disks that work. An assertion that fails reports the seed. */
   static void run(long seed) {
-    RaftSchedule schedule = new RaftSchedule(seed);
+    run(seed, Optional.empty());
+  }
+
+  /** Runs a schedule of which {@link #diskFault} is the fault of the disks. */
+  static void runWithDiskFaults(long seed) {
+    run(seed, Optional.of(diskFault(seed)));
+  }
+
+  /** Returns what goes wrong at the disks with a seed, besides losses of power. */
+  static DiskFault diskFault(long seed) {
+    return DISK_FAULTS.get((int) (seed % DISK_FAULTS.size()));
+  }
+
+  private static void run(long seed, Optional<DiskFault> fault) {
+    RaftSchedule schedule = new RaftSchedule(seed, fault);
     try {
       schedule.runFaulty();
       schedule.runHealing();
     } catch (RuntimeException | AssertionError e) {
       throw new AssertionError(
-          "seed " + schedule.seed + ": " + e.getMessage() + "; " + schedule.replicas, e);
+          "seed "
+              + schedule.seed
+              + fault.map(one -> " with disk fault " + one).orElse("")
+              + ": "
+              + e.getMessage()
+              + "; "
+              + schedule.replicas,
+          e);
     }
   }
 
@@ -59,6 +110,7 @@
     replicas.forEach(replica -> replica.start(now));
     for (int i = 0; i < FAULTY_STEPS; i++) {
       injectFault();
+      fault.ifPresent(this::injectDiskFault);
       if (random.nextInt(3) == 0) {
         clients.performOperation(pickReplica(), now);
       }
@@ -152,6 +204,26 @@
     }
   }
 
+  private void injectDiskFault(DiskFault one) {
+    SimulatedReplica replica = replicas.get(diskRandom.nextInt(replicas.size()));
+    switch (diskRandom.nextInt(DISK_FAULT_CHOICES)) {
+      case 0, 1 -> disks.get(replica.name()).toggle(one);
+      case 2 -> disks.get(replica.name()).losePowerSoon();
+      case 3 -> losePowerOfAll();
+      default -> {}
+    }
+  }
+
+  /** The power of all replicas goes and returns. */
+  private void losePowerOfAll() {
+    if (diskRandom.nextInt(4) > 0) {
+      return;
+    }
+    replicas.forEach(SimulatedReplica::crash);
+    disks.values().forEach(FaultyReplicaDisk::losePower);
+    replicas.forEach(replica -> replica.start(now));
+  }
+
   private void restart(SimulatedReplica replica) {
     if (!replica.isUp()) {
       replica.start(now);
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedDisk.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedDisk.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.raft;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -9,7 +10,7 @@
 import org.geraniumwharf.schema.state.Membership;
 
 /** Durable state of one replica, which survives a crash. */
-final class SimulatedDisk implements SnapshotSource {
+final class SimulatedDisk implements ReplicaDisk {
 
   private static final HardState INITIAL_HARD_STATE = HardState.of(0, Optional.empty(), 0, false);
 
@@ -17,20 +18,20 @@
   private final List<LogEntry> entries = new ArrayList<>();
   private Optional<RaftSnapshot> snapshot = Optional.empty();
 
-  void write(RaftOutput output) {
+  @Override
+  public void open() {}
+
+  @Override
+  public void write(RaftOutput output, HardState unused) {
     if (output.snapshot().isPresent()) {
-      saveSnapshot(output.snapshot().get(), List.of());
+      saveSnapshot(output.snapshot().get(), unused, List.of());
     }
     output.hardState().ifPresent(state -> hardState = state);
     output.entries().forEach(this::writeEntry);
   }
 
-  /**
-   * Performs the part of a write that precedes a crash: nothing if {@code parts} is 0, else the
-   * hard state and the first {@code parts - 1} entries. Nothing is written of an output with a
-   * snapshot.
-   */
-  void writePartially(RaftOutput output, int parts) {
+  @Override
+  public void writePartially(RaftOutput output, HardState unused, int parts) {
     if (output.snapshot().isPresent() || parts == 0) {
       return;
     }
@@ -38,25 +39,39 @@
     output.entries().stream().limit(parts - 1L).forEach(this::writeEntry);
   }
 
+  @Override
+  public void crash() {}
+
+  @Override
+  public void clearFaults() {}
+
+  @Override
+  public Duration nextDelay() {
+    return Duration.ZERO;
+  }
+
   private void writeEntry(LogEntry entry) {
     int position = (int) (entry.index() - snapshotIndex() - 1);
     entries.subList(position, entries.size()).clear();
     entries.add(entry);
   }
 
-  void saveSnapshot(RaftSnapshot newer, List<LogEntry> retained) {
+  @Override
+  public void saveSnapshot(RaftSnapshot newer, HardState unused, List<LogEntry> retained) {
     snapshot = Optional.of(newer);
     entries.clear();
     entries.addAll(retained);
   }
 
-  void wipe() {
+  @Override
+  public void wipe() {
     hardState = INITIAL_HARD_STATE.withRecovering(true);
     entries.clear();
     snapshot = Optional.empty();
   }
 
-  RaftInitialState initialState(
+  @Override
+  public RaftInitialState initialState(
       String self,
       RaftTiming timing,
       Membership initial,
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.geraniumwharf.internal.state.ControlState;
+import org.geraniumwharf.internal.storage.PowerLostException;
+import org.geraniumwharf.internal.storage.StorageException;
 import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.messages.ControlAnswer;
 import org.geraniumwharf.schema.messages.RaftMessage;
@@ -33,7 +35,7 @@
   private final SimulatedNetwork network;
   private final SafetyChecker checker;
   private final MembershipPolicy membershipPolicy;
-  private final SimulatedDisk disk = new SimulatedDisk();
+  private final ReplicaDisk disk;
   private final Map<Long, PendingProposal> pendingProposals = new HashMap<>();
   private final Map<Long, Consumer<Long>> pendingReads = new HashMap<>();
   private Optional<RaftCore> core = Optional.empty();
@@ -44,6 +46,11 @@
   private boolean shouldCrashAtNextWrite;
   private boolean isFrozen;
 
+  /** Output that is not written yet, because the disk failed or is slow. */
+  private Optional<RaftOutput> unwritten = Optional.empty();
+
+  private Instant writtenAt = Instant.MIN;
+
   private record PendingProposal(long term, Consumer<ControlAnswer> callback) {}
 
   SimulatedReplica(
@@ -62,6 +69,18 @@
       SimulatedNetwork network,
       SafetyChecker checker,
       MembershipPolicy members) {
+    this(name, initial, random, network, checker, members, new SimulatedDisk());
+  }
+
+  SimulatedReplica(
+      String name,
+      Membership initial,
+      RandomGenerator random,
+      SimulatedNetwork network,
+      SafetyChecker checker,
+      MembershipPolicy members,
+      ReplicaDisk disk) {
+    this.disk = disk;
     this.name = name;
     this.initial = initial;
     this.random = random;
@@ -98,7 +117,23 @@
     return core.orElseThrow();
   }
 
+  /**
+   * Starts from the disk, unless that fails at present.
+   *
+   * @throws AssertionError if the disk works, but the replica refuses what is on it
+   */
   void start(Instant now) {
+    try {
+      disk.open();
+    } catch (PowerLostException e) {
+      disk.crash();
+      return;
+    } catch (StorageException e) {
+      if (isUnreadable(e)) {
+        throw new AssertionError(name + " cannot start: " + e.getMessage(), e);
+      }
+      return;
+    }
     state = ControlState.empty();
     disk.latest().ifPresent(this::restore);
     core =
@@ -108,7 +143,17 @@
                 localTime(now)));
   }
 
+  private static boolean isUnreadable(StorageException e) {
+    return e.getCause() == null || !String.valueOf(e.getCause().getMessage()).contains("injected");
+  }
+
   void crash() {
+    endProcess();
+    disk.crash();
+  }
+
+  private void endProcess() {
+    unwritten = Optional.empty();
     core = Optional.empty();
     pendingProposals.clear();
     pendingReads.clear();
@@ -130,6 +175,7 @@
   }
 
   void clearFaults() {
+    disk.clearFaults();
     isFrozen = false;
     shouldCrashAtNextWrite = false;
   }
@@ -144,7 +190,9 @@
   }
 
   void tick(Instant now) {
-    if (isActive()) {
+    if (core.isPresent() && !isFrozen && unwritten.isPresent()) {
+      writeAgain(now);
+    } else if (isActive()) {
       core.get().tick(localTime(now));
       processOutput(now);
     }
@@ -158,7 +206,7 @@
   }
 
   private boolean isActive() {
-    return core.isPresent() && !isFrozen;
+    return core.isPresent() && !isFrozen && unwritten.isEmpty();
   }
 
   void propose(Command command, Consumer<ControlAnswer> answer, Instant now) {
@@ -191,16 +239,48 @@
     }
   }
 
+  private void writeAgain(Instant now) {
+    if (now.isBefore(writtenAt)) {
+      return;
+    }
+    RaftOutput output = unwritten.get();
+    unwritten = Optional.empty();
+    processFrom(output, now);
+  }
+
   private void processOutput(Instant now) {
     core.get().flush(localTime(now));
     RaftOutput output = core.get().takeOutput();
+    Duration delay = output.needsSync() ? disk.nextDelay() : Duration.ZERO;
+    if (delay.isZero()) {
+      processFrom(output, now);
+    } else {
+      unwritten = Optional.of(output);
+      writtenAt = now.plus(delay);
+    }
+  }
+
+  private void processFrom(RaftOutput first, Instant now) {
+    try {
+      processAll(first, now);
+    } catch (PowerLostException e) {
+      crash();
+    }
+  }
+
+  private void processAll(RaftOutput first, Instant now) {
+    RaftOutput output = first;
     while (!output.isEmpty()) {
       if (output.needsSync() && shouldCrashAtNextWrite) {
-        disk.writePartially(output, random.nextInt(output.entries().size() + 2));
+        disk.writePartially(
+            output, core.get().hardState(), random.nextInt(output.entries().size() + 2));
         crash();
         return;
       }
-      disk.write(output);
+      if (output.needsSync() && !isWritten(output)) {
+        unwritten = Optional.of(output);
+        return;
+      }
       output.snapshot().ifPresent(this::restore);
       core.get().markPersisted();
       output.messages().forEach(sent -> network.send(name, sent.to(), sent.message(), now));
@@ -216,6 +296,15 @@
     }
   }
 
+  private boolean isWritten(RaftOutput output) {
+    try {
+      disk.write(output, core.get().hardState());
+      return true;
+    } catch (StorageException e) {
+      return false;
+    }
+  }
+
   private void apply(LogEntry entry) {
     checker.recordApplied(name, entry);
     if (entry.kind() != EntryKind.COMMAND) {
@@ -254,11 +343,16 @@
     }
     RaftCore raft = core.get();
     StateSnapshot data = state.snapshot(raft.termAt(index), raft.membershipAt(index));
-    disk.saveSnapshot(
-        RaftSnapshot.of(index, data.term(), data.membership(), Codec.messagePack().encode(data)),
-        raft.entriesAfter(index));
     snapshotIndex = index;
-    raft.compactTo(index);
+    try {
+      disk.saveSnapshot(
+          RaftSnapshot.of(index, data.term(), data.membership(), Codec.messagePack().encode(data)),
+          raft.hardState(),
+          raft.entriesAfter(index));
+      raft.compactTo(index);
+    } catch (StorageException e) {
+      // The next snapshot is due after as many entries.
+    }
   }
 
   @Override
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FaultyDisk.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/storage/FaultyDisk.java
@@ -114,14 +114,14 @@
   public void move(Path from, Path to) throws IOException {
     checkPower();
     failIf(DiskFault.RENAME_FAILS);
-    change(new NameChange(from, to));
+    change(new NameChange(from, to, names.get(from)));
   }
 
   @Override
   public void deleteIfExists(Path path) throws IOException {
     checkPower();
     if (exists(path)) {
-      change(new NameChange(path, null));
+      change(new NameChange(path, null, names.get(path)));
     }
   }
 
@@ -168,12 +168,12 @@
     Kept of(Write write);
   }
 
-  /** A change of a name; the file is deleted if the new name is null. */
-  private record NameChange(Path from, Path to) {
+  /** A change of the name of a content; the file is deleted if the new name is null. */
+  private record NameChange(Path from, Path to, Content content) {
 
     void apply(Map<Path, Content> changed) {
-      Content content = changed.remove(from);
-      if (to != null && content != null) {
+      changed.remove(from, content);
+      if (to != null) {
         changed.put(to, content);
       }
     }
