--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/FaultyDiskScheduleTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/FaultyDiskScheduleTest.java
@@ -26,6 +26,9 @@
             ? LongStream.of(replayed)
             : LongStream.rangeClosed(FIRST, FIRST + SEEDS - 1);
 
+    if (replayed != null) {
+      System.out.println("seed=" + replayed + " diskFault=" + RaftSchedule.diskFault(replayed));
+    }
     List<String> failures =
         seeds
             .parallel()
