Lose a second disk in a schedule only when recoveries are written

Trace: of three replicas, one had lost its disk and caught up, and the write that ends its recovery was still under way at a slow disk; the schedule took it for healthy and removed the disk of another, then the power went: two of three disks lost at once, which no group of three outlasts. The condition of the schedule is that all replicas are healthy; it now counts what a replica would be if it started again. Schedules without disk faults never have a write under way, so nothing changes there.

--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
@@ -105,8 +105,12 @@
     return core.isPresent() && core.get().isJoined(localTime(now));
   }
 
+  /**
+   * Returns whether this replica would be recovering if it started again now: also while the end of
+   * its recovery may not be written yet.
+   */
   boolean isRecovering() {
-    return core.isPresent() && core.get().isRecovering();
+    return core.isPresent() && (core.get().isRecovering() || unwritten.isPresent());
   }
 
   ControlState state() {
