--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.view.FleetView;
 
@@ -20,4 +21,13 @@
         WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0), now);
     return holder;
   }
+
+  /** Returns a holder with a fresh view of engines and of the weights that operators name. */
+  public static FleetViewHolder holderOfWeights(
+      List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    FleetViewHolder holder = FleetViewHolder.create();
+    holder.apply(
+        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0), now);
+    return holder;
+  }
 }
--- /dev/null
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/WeightsRolloutTest.java
@@ -0,0 +1,132 @@
+package org.geraniumwharf.internal.node;
+
+import static org.awaitility.Awaitility.await;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.geraniumwharf.control.ControlInstance;
+import org.geraniumwharf.control.Leadership;
+import org.geraniumwharf.control.StoreReader;
+import org.geraniumwharf.control.ViewSink;
+import org.geraniumwharf.internal.fleet.FleetFixtures;
+import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.schema.messages.ControlAnswer;
+import org.geraniumwharf.schema.messages.PeerMessage;
+import org.geraniumwharf.schema.messages.RaftMessage;
+import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.state.TargetRecord;
+import org.geraniumwharf.schema.targets.Announcement;
+import org.geraniumwharf.schema.targets.LoadedWeights;
+import org.geraniumwharf.schema.targets.TargetKind;
+import org.junit.jupiter.api.Test;
+
+class WeightsRolloutTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
+
+  /** Guards against an engine that never gets its weights because every worker was busy once. */
+  @Test
+  void should_start_a_swap_again_after_the_pool_of_workers_was_full() throws Exception {
+    AtomicInteger rejected = new AtomicInteger();
+    AtomicInteger taken = new AtomicInteger();
+    Executor fullTwice =
+        task -> {
+          if (rejected.get() < 2) {
+            rejected.incrementAndGet();
+            throw new RejectedExecutionException();
+          }
+          taken.incrementAndGet();
+        };
+    Thread rollout = new Thread(rolloutWith(fullTwice));
+
+    rollout.start();
+    try {
+      await().atMost(Duration.ofSeconds(10)).until(() -> taken.get() == 1);
+    } finally {
+      rollout.interrupt();
+      rollout.join();
+    }
+  }
+
+  private static WeightsRollout rolloutWith(Executor workers) {
+    return new WeightsRollout(
+        "control-1",
+        new LeadingInstance(),
+        FleetFixtures.holderOfWeights(
+            List.of(engine()), List.of(NamedWeights.of("model", 2, NOW.toEpochMilli())), NOW),
+        new EngineOrders(null, null),
+        new ControlService("control-1", null, null, null, null, EventLog.none(), () -> NOW),
+        workers,
+        EventLog.none(),
+        () -> NOW);
+  }
+
+  private static TargetRecord engine() {
+    Announcement announcement =
+        Announcement.of(
+            "engine-1",
+            1,
+            1,
+            "http://127.0.0.1:9",
+            "dc-1",
+            TargetKind.ENGINE,
+            Optional.empty(),
+            Optional.empty(),
+            List.of(LoadedWeights.of("model@1", List.of())),
+            Optional.empty(),
+            Optional.empty(),
+            false,
+            Optional.empty(),
+            0);
+    return TargetRecord.of(announcement, false, Optional.empty());
+  }
+
+  /** Leads since its start. */
+  private static final class LeadingInstance implements ControlInstance {
+
+    @Override
+    public Optional<Leadership> leadership(Instant now) {
+      return Optional.of(new Leadership(1, NOW, Duration.ZERO, true));
+    }
+
+    @Override
+    public void receive(RaftMessage message) {}
+
+    @Override
+    public CompletableFuture<ControlAnswer> call(PeerMessage call) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public void watch(long afterIndex, ViewSink sink) {}
+
+    @Override
+    public boolean isJoined() {
+      return true;
+    }
+
+    @Override
+    public void readStores(StoreReader reader) {}
+
+    @Override
+    public CompletableFuture<Throwable> failure() {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public boolean isInitialised() {
+      return true;
+    }
+
+    @Override
+    public CompletableFuture<Void> shutdown() {
+      return CompletableFuture.completedFuture(null);
+    }
+  }
+}
