Return to the preferred control instance after a loss of all

What was seen: review of the incident, trial with 20 watchers: after 1.8 s without news from any instance all 20 followed the same one, as the first message with news wins everywhere; before the loss they were spread 4, 5, 3, 6, 2. At 95 entries one instance would carry 95 streams, and nothing led back to the local instance. With all instances refusing, an entry opened 16 connections a second.

Change: an instance that has news but isn't the daemon's first choice is kept for 10 s; then the first choice is watched beside it and takes over once it has news. A watch that ended is repeated after 500 ms in place of 300.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
@@ -32,7 +32,13 @@
   static final Duration STAGGER_WITHOUT_VIEW = NEWS_TIMEOUT;
 
   /** Time before an instance is watched again whose watch ended by itself. */
-  static final Duration RETRY_PAUSE = Duration.ofMillis(300);
+  static final Duration RETRY_PAUSE = Duration.ofMillis(500);
+
+  /**
+   * Time after which the preferred instance is tried again beside another one that has news. After
+   * a loss of all instances the first that has news is kept by every daemon.
+   */
+  static final Duration RETURN_INTERVAL = Duration.ofSeconds(10);
 
   /** Next candidate first; an instance that was given up goes to the end. */
   private final List<String> order = new ArrayList<>();
@@ -55,21 +61,34 @@
   /**
    * Returns the instance to watch now, if any, and takes it as watched.
    *
-   * @param known instances in the order in which those that are new here are tried
+   * @param known instances in the order in which those that are new here are tried; the first one
+   *     is preferred
    * @param hasView whether any view was received yet
    */
   Optional<String> next(List<String> known, boolean hasView, Instant now) {
     updateOrder(known);
+    if (isReturnDue(known, now)) {
+      return Optional.of(watch(known.get(0), now));
+    }
     if (!isDue(hasView ? STAGGER : STAGGER_WITHOUT_VIEW, now)) {
       return Optional.empty();
     }
     Optional<String> next = order.stream().filter(name -> isCandidate(name, now)).findFirst();
-    next.ifPresent(
-        name -> {
-          watchedSince.put(name, now);
-          lastStart = now;
-        });
-    return next;
+    return next.map(name -> watch(name, now));
+  }
+
+  private String watch(String name, Instant now) {
+    watchedSince.put(name, now);
+    lastStart = now;
+    return name;
+  }
+
+  private boolean isReturnDue(List<String> known, Instant now) {
+    return !known.isEmpty()
+        && watchedSince.size() == 1
+        && !watchedSince.containsKey(known.get(0))
+        && isNews(newsAt, now)
+        && !now.isBefore(lastStart.plus(RETURN_INTERVAL));
   }
 
   private void updateOrder(List<String> known) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
@@ -97,6 +97,37 @@
     assertEquals(Optional.of("c-2"), plan.next(NAMES, true, NOW.plusMillis(10)));
   }
 
+  /** Guards against every daemon staying with the instance that had news first after a loss. */
+  @Test
+  void should_return_to_the_preferred_instance_once_it_has_news_again() {
+    plan.next(NAMES, true, NOW);
+    plan.next(NAMES, true, NOW.plusMillis(900));
+    plan.received("c-2", NOW.plusMillis(1000), NOW.plusMillis(1000));
+
+    plan.received("c-2", NOW.plusMillis(10_890), NOW.plusMillis(10_890));
+    Optional<String> tooEarly = plan.next(NAMES, true, NOW.plusMillis(10_890));
+    Optional<String> preferred = plan.next(NAMES, true, NOW.plusMillis(10_900));
+    List<String> givenUp = plan.received("c-1", NOW.plusMillis(10_910), NOW.plusMillis(10_920));
+
+    assertEquals(Optional.empty(), tooEarly);
+    assertEquals(Optional.of("c-1"), preferred);
+    assertEquals(List.of("c-2"), givenUp);
+  }
+
+  @Test
+  void should_stay_while_the_preferred_instance_has_no_news() {
+    plan.next(NAMES, true, NOW);
+    plan.next(NAMES, true, NOW.plusMillis(900));
+    plan.received("c-2", NOW.plusMillis(1000), NOW.plusMillis(1000));
+
+    plan.received("c-2", NOW.plusMillis(10_890), NOW.plusMillis(10_890));
+    plan.next(NAMES, true, NOW.plusMillis(10_900));
+    List<String> givenUp = plan.received("c-2", NOW.plusMillis(11_000), NOW.plusMillis(11_000));
+
+    assertEquals(List.of("c-1"), givenUp);
+    assertEquals(Optional.empty(), plan.next(NAMES, true, NOW.plusMillis(11_200)));
+  }
+
   /**
    * Whichever two of five instances are lost, and again after they changed, a view is confirmed at
    * most 1.5 s before: three quarters of {@code config_apply_ms}, 2 s.
@@ -127,7 +158,7 @@
     private static final List<Loss> LOSSES = List.of(Loss.values());
     private static final int STEP_MILLIS = 10;
     private static final int PHASE_MILLIS = 5000;
-    private static final int PHASES = 4;
+    private static final int PHASES = 8;
 
     /** Time that a connection to a silent instance takes to be given up. */
     private static final int HANGING_MILLIS = 4000;
