Go on asking for a confirmed read after an error

Found in review by reading: an unchecked exception ended the thread that asks, and the entry would never have become ready. It is logged and the next attempt follows, as at the other threads of a node. No test of its own.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -236,6 +236,8 @@
       log.info(Event.of("view-confirmed").with("index", answer.index()));
     } catch (ServingException e) {
       log.info(Event.of("view-unconfirmed").with("cause", e.getMessage()));
+    } catch (RuntimeException e) {
+      log.warn(Event.of("view-unconfirmed").with("cause", e));
     }
   }
 
