--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -19,7 +19,10 @@
   private static final int MAX_HEAD_BYTES = 64 << 10;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-  /** Start of a status line, which is in no status line or header of a single response. */
+  /**
+   * Start of a status line. A response that has one within its own status line or a header is
+   * refused, since it cannot be told from two that were joined.
+   */
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
 
@@ -44,8 +47,8 @@
   }
 
   /**
-   * Returns whether a head has the status line of another response within, as after the beginning
-   * of a response that was cut.
+   * Returns whether a head has a second status line within, as after the beginning of a response
+   * that was cut.
    */
   static boolean isJoinedFromTwo(HttpResponse head) {
     if (!head.protocolVersion().protocolName().equals("HTTP")
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/JoinedHeadCheck.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/JoinedHeadCheck.java
@@ -11,7 +11,10 @@
  */
 final class JoinedHeadCheck implements Interceptor {
 
-  /** Start of a status line, which is in no status line or header of a single answer. */
+  /**
+   * Start of a status line. An answer that has one within its own status line or a header is
+   * refused, since it cannot be told from two that were joined.
+   */
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
 
