Log refusals of targets with their connection, and the waves of a rollout

What callers saw: requests that had been refused with a promise ran, and requests ran on weights that had been replaced. Cause: not known yet. Evidence: the lines of today tell neither which target refused a request over which connection, nor why a rollout waits. Change: target-refused (target, status, number of the send, connection), the connection's port in relay-end, the version of the target's weights and the newest named one in relay-decision; weights-rest, weights-wave and weights-swapped at the leader, the gauge engines_behind. No decision changes.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -227,6 +227,7 @@
     ControlService service =
         new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
     DaemonThreads.start(weightsRollout(started, service), "weights-rollout");
+    metrics.gauge("engines_behind", () -> WeightsRollout.enginesBehind(holder.current()));
     readStores(started);
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.control.Leadership;
@@ -53,6 +54,7 @@
   private final EventLog log;
   private final InstantSource clock;
   private final Set<String> swapping = ConcurrentHashMap.newKeySet();
+  private long restingTerm;
 
   WeightsRollout(
       String self,
@@ -88,6 +90,7 @@
   /** A round that fails leaves the next one to try again. */
   private void runRound(Instant now) {
     try {
+      logRest(now);
       leadership(now).ifPresent(leading -> startSwaps(leading, now));
     } catch (RuntimeException e) {
       log.warn(Event.of("weights-round-failed").with("cause", e));
@@ -101,6 +104,19 @@
         .filter(leading -> !now.isBefore(ordersFrom(leading)));
   }
 
+  /** Logs once in each term that its leader gives no orders yet. */
+  private void logRest(Instant now) {
+    Optional<Leadership> resting =
+        instance.leadership(now).filter(leading -> now.isBefore(ordersFrom(leading)));
+    if (resting.isPresent() && resting.get().term() != restingTerm) {
+      restingTerm = resting.get().term();
+      log.info(
+          Event.of("weights-rest")
+              .with("term", restingTerm)
+              .with("millis", Duration.between(now, ordersFrom(resting.get())).toMillis()));
+    }
+  }
+
   /** Returns the time from which a leader may give orders. */
   private static Instant ordersFrom(Leadership leading) {
     return leading.isFirst() ? leading.since() : leading.since().plus(REST_OF_NEW_LEADER);
@@ -118,12 +134,56 @@
       }
       Duration sinceNamed = Duration.between(Instant.ofEpochMilli(named.atMillis()), now);
       Duration sinceOrdering = Duration.between(ordersFrom(leading), now);
-      for (String id : WavePlanner.nextEngines(engines, sinceNamed, sinceOrdering)) {
+      List<String> next = WavePlanner.nextEngines(engines, sinceNamed, sinceOrdering);
+      if (!next.isEmpty()) {
+        logWave(named, leading, sinceNamed, sinceOrdering, engines, next.size());
+      }
+      for (String id : next) {
         startSwap(view.target(id).orElseThrow().announcement(), named, leading);
       }
     }
   }
 
+  private void logWave(
+      NamedWeights named,
+      Leadership leading,
+      Duration sinceNamed,
+      Duration sinceOrdering,
+      List<WavePlanner.EngineProgress> engines,
+      int started) {
+    log.info(
+        Event.of("weights-wave")
+            .with("model", named.model())
+            .with("version", named.version())
+            .with("term", leading.term())
+            .with("sinceNamedMillis", sinceNamed.toMillis())
+            .with("sinceOrderingMillis", sinceOrdering.toMillis())
+            .with("engines", engines.size())
+            .with("current", count(engines, WavePlanner.EngineProgress::isCurrent))
+            .with("swapping", count(engines, WavePlanner.EngineProgress::isSwapping))
+            .with("started", started));
+  }
+
+  private static long count(
+      List<WavePlanner.EngineProgress> engines, Predicate<WavePlanner.EngineProgress> condition) {
+    return engines.stream().filter(condition).count();
+  }
+
+  /** Returns the number of serving engines that announce an older version than the named one. */
+  static long enginesBehind(FleetSnapshot view) {
+    long behind = 0;
+    for (NamedWeights named : view.namedWeights()) {
+      behind +=
+          view.targets().stream()
+              .filter(WeightsRollout::isServing)
+              .map(record -> version(record.announcement(), named.model()))
+              .flatMap(Optional::stream)
+              .filter(version -> version < named.version())
+              .count();
+    }
+    return behind;
+  }
+
   private static boolean isServing(TargetRecord record) {
     Announcement announcement = record.announcement();
     return !record.lapsed()
@@ -186,11 +246,13 @@
   /** Orders, reads back and orders again until the engine holds the weights. */
   private void swap(Announcement engine, NamedWeights named, Leadership leading)
       throws InterruptedException {
-    Instant end = clock.instant().plus(LONGEST_SWAP);
+    Instant begun = clock.instant();
+    Instant end = begun.plus(LONGEST_SWAP);
     while (clock.instant().isBefore(end) && isWanted(engine, named, leading)) {
       try {
         OrderProtocol.EngineReport report = orders.report(engine);
         if (report.versions().getOrDefault(named.model(), 0L) >= named.version()) {
+          logSwapped(engine, named, Duration.between(begun, clock.instant()));
           announce(engine, named);
           return;
         }
@@ -207,6 +269,15 @@
     }
   }
 
+  private void logSwapped(Announcement engine, NamedWeights named, Duration duration) {
+    log.info(
+        Event.of("weights-swapped")
+            .with("target", engine.id())
+            .with("model", named.model())
+            .with("version", named.version())
+            .with("millis", duration.toMillis()));
+  }
+
   private boolean isWanted(Announcement engine, NamedWeights named, Leadership leading) {
     Optional<TargetRecord> record = holder.current().target(engine.id());
     boolean isSameStart =
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
@@ -10,6 +10,7 @@
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.ResolvedRequest;
+import org.geraniumwharf.schema.state.NamedWeights;
 
 /** Log events of a relayed request: each choice of a target, and the end of the request. */
 final class ExchangeLog {
@@ -35,12 +36,14 @@
    * @param receipt receipt of the response
    * @param earlierResponses responses that the connection had carried when the request was sent
    * @param connectionAge age of the connection then
+   * @param connectionPort port of the connection on this side
    */
   record TargetResult(
       Optional<Integer> status,
       Optional<String> receipt,
       int earlierResponses,
-      Duration connectionAge) {}
+      Duration connectionAge,
+      int connectionPort) {}
 
   /**
    * Result of a request.
@@ -88,6 +91,8 @@
                 .with("route", resolved.route().name())
                 .with("target", choice.target().id())
                 .with("attempt", attempt)
+                .with("weights", choice.target().weightsVersion())
+                .with("namedWeights", namedWeights(relay, resolved))
                 .with("costMillis", Math.round(choice.costMillis()))
                 .with("promptTokens", resolved.request().promptTokens())
                 .with("context", contextId(resolved))
@@ -129,6 +134,9 @@
             .with(
                 "targetConnectionMillis",
                 millis(result.targetResult().map(TargetResult::connectionAge)))
+            .with(
+                "targetConnectionPort",
+                orNever(result.targetResult().map(TargetResult::connectionPort)))
             .with("view", result.decidedBy().index())
             .with("lagMillis", millisBetween(request.arrivedAt(), result.startedAt()))
             .with("sentMillis", millisFromArrival(request, result.sentAt()))
@@ -139,6 +147,35 @@
             .with("cause", result.cause()));
   }
 
+  /**
+   * Logs a response in which a target states that it has not executed a request.
+   *
+   * @param attempt number of targets that the request was sent to
+   * @param result the response and its connection
+   */
+  static void logRefusal(
+      EventLog log, RelayRequest request, String target, int attempt, TargetResult result) {
+    log.info(
+        Event.of("target-refused")
+            .with("request", request.id())
+            .with("target", target)
+            .with("status", orNever(result.status()))
+            .with("attempt", attempt)
+            .with("earlierResponses", result.earlierResponses())
+            .with("targetConnectionMillis", result.connectionAge().toMillis())
+            .with("targetConnectionPort", result.connectionPort()));
+  }
+
+  /** Returns the newest version that was named of the weights of a request, or 0. */
+  private static long namedWeights(RelayState relay, ResolvedRequest resolved) {
+    return resolved
+        .request()
+        .model()
+        .flatMap(relay.admission().routing().view()::namedWeights)
+        .map(NamedWeights::version)
+        .orElse(0L);
+  }
+
   private static long orNever(Optional<Integer> value) {
     return value.map(Integer::longValue).orElse(NEVER);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -71,14 +71,16 @@
   private String errorKind = "none";
 
   /** A call as it was when it was sent over a connection. */
-  private record SentCall(TargetCall call, int earlierResponses, Duration connectionAge) {
+  private record SentCall(
+      TargetCall call, int earlierResponses, Duration connectionAge, int connectionPort) {
 
     private ExchangeLog.TargetResult result(RelayProtocol protocol) {
       return new ExchangeLog.TargetResult(
           call.head().map(head -> head.status().code()),
           call.head().flatMap(head -> protocol.receipt(head.headers())),
           earlierResponses,
-          connectionAge);
+          connectionAge,
+          connectionPort);
     }
   }
 
@@ -273,7 +275,12 @@
     sendCount++;
     sentAt = Optional.of(now);
     lastSent =
-        Optional.of(new SentCall(next, connection.completedResponses(), connection.age(now)));
+        Optional.of(
+            new SentCall(
+                next,
+                connection.completedResponses(),
+                connection.age(now),
+                connection.localPort()));
     CacheTransfers transfers = relay.planTransfers(request, next.target());
     next.sent(connection, transfers, now);
     RelayProtocol.ForwardedRequest forwarded =
@@ -367,6 +374,16 @@
 
   /** Handles a response in which the target states that it did not execute the request. */
   void notExecuted(TargetCall endedCall, int status) {
+    lastSent
+        .filter(sent -> sent.call() == endedCall)
+        .ifPresent(
+            sent ->
+                ExchangeLog.logRefusal(
+                    relay.log(),
+                    parsedRequest,
+                    endedCall.target().id(),
+                    sendCount,
+                    sent.result(relay.protocol())));
     if (!endedCall.isTurnedAway()) {
       relay.load().recordRejection(endedCall.target().id(), relay.now());
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -115,6 +115,11 @@
     return Duration.between(openedAt, now);
   }
 
+  /** Returns the port on this side, by which a target tells the connection from others. */
+  int localPort() {
+    return channel.localAddress().getPort();
+  }
+
   /** Returns the handler to be placed before the HTTP codec, which bounds the bytes received. */
   ChannelInboundHandler receivedBytesHandler() {
     return new ChannelInboundHandlerAdapter() {
