Send no request id twice over one connection to a target

Cause: the relay tells the answers on a connection apart by the request's id alone. A target may send the copy of a refusal late, with the id of the request that was refused. If the same request is under way again on the same connection, the copy can't be told from its answer: a caller repeated its id, or the target was started under another id at its address and the entry sent again over the connection that had brought the 421.

Change: a connection remembers the ids that it has carried, as hashes, and the pool passes it over for them: it takes another idle connection or opens one. A connection that was passed over stays in the pool for others. Log line target-connection-not-reused and a counter with the cause.

Why it works: each id is on a connection at most once, so an answer with the id of the request in flight is the answer to this send, and every copy on the connection bears another id, or none.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -95,6 +95,15 @@
     registry.counter("unexpected_target_bytes_total." + cause).inc();
   }
 
+  /**
+   * Records a sound connection to a target that was not reused.
+   *
+   * @param cause why it was not
+   */
+  public void connectionNotReused(String cause) {
+    registry.counter("unreused_target_connections_total." + cause).inc();
+  }
+
   public void retried() {
     retries.inc();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -25,6 +25,8 @@
 
   private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
+  private static final String NO_ID = "";
+
   private final EventLoop loop;
   private final TargetConnectionPool pool;
   private final InstantSource clock;
@@ -43,7 +45,8 @@
       EventLoop loop, RelayProtocol protocol, InstantSource clock) {
     return new BufferingHttpClient(
         loop,
-        new TargetConnectionPool(loop, protocol, UnexpectedBytesListener.none(), clock),
+        new TargetConnectionPool(
+            loop, protocol, UnexpectedBytesListener.none(), ConnectionReuseListener.none(), clock),
         clock);
   }
 
@@ -80,6 +83,7 @@
     }
     pool.acquire(
         address,
+        NO_ID,
         connection -> sendOver(address, connection, request, timeout, response),
         cause -> {
           request.release();
@@ -104,7 +108,7 @@
       Duration timeout,
       CompletableFuture<Response> response) {
     ResponseCollector collector = new ResponseCollector(address, connection, response);
-    connection.send(request, "", collector);
+    connection.send(request, NO_ID, collector);
     var unused = loop.schedule(collector::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -250,6 +250,7 @@
         .targetPool()
         .acquire(
             address,
+            parsedRequest.id(),
             connection -> sendRequest(connection, next),
             cause -> connectFailed(next, cause));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -96,7 +96,11 @@
         channel.eventLoop(),
         loop ->
             new TargetConnectionPool(
-                loop, relay.protocol(), relay::recordUnexpectedBytes, relay.clock()));
+                loop,
+                relay.protocol(),
+                relay::recordUnexpectedBytes,
+                relay::recordNotReused,
+                relay.clock()));
   }
 
   /** Closes each connection after its next response from now on. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -182,6 +182,11 @@
     bytes.log(log, targetAt(bytes.address()));
   }
 
+  void recordNotReused(ConnectionReuseListener.UnreusedConnection connection) {
+    metrics.connectionNotReused(connection.cause().wireName());
+    connection.log(log, targetAt(connection.address()));
+  }
+
   /** Returns the targets at an address; a request to one that has gone may still be running. */
   private String targetAt(InetSocketAddress address) {
     String text = address.getAddress().getHostAddress() + ":" + address.getPort();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -26,7 +26,8 @@
 /**
  * A connection to a target that carries one request at a time. A response to another request than
  * the one in flight is discarded, and the connection is not reused. If the request in flight has an
- * id, a response without one fails it, since the response may belong to an earlier request.
+ * id, a response without one fails it, since the response may belong to an earlier request. A
+ * response with that id is taken for the answer, so the connection must carry each id only once.
  * Confined to its event loop.
  */
 final class TargetConnection extends ChannelInboundHandlerAdapter {
@@ -53,6 +54,7 @@
   private final UnexpectedBytesListener unexpectedBytes;
   private final InstantSource clock;
   private final Instant openedAt;
+  private final RequestIdHistory history = RequestIdHistory.create();
   private Optional<ResponseListener> listener = Optional.empty();
   private String requestId = "";
   private ChannelFuture requestWrite;
@@ -156,8 +158,23 @@
     }
   }
 
-  /** Sends a request and takes ownership of it. */
+  /** Returns whether the connection may have carried a request with an id that is not empty. */
+  boolean mayHaveCarried(String id) {
+    return !id.isEmpty() && history.mayContain(id);
+  }
+
+  /** Returns whether the connection has carried as many requests as it remembers. */
+  boolean isHistoryFull() {
+    return history.isFull();
+  }
+
+  /**
+   * Sends a request and takes ownership of it.
+   *
+   * @param id id of the request, which the response repeats; empty if it has none
+   */
   void send(FullHttpRequest request, String id, ResponseListener newListener) {
+    history.add(id);
     listener = Optional.of(newListener);
     requestId = id;
     isHeadReceived = false;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -15,14 +15,16 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import jdk.net.ExtendedSocketOptions;
 
 /**
- * Idle keep-alive connections to targets; the most recently used one is reused first. Confined to
- * its event loop.
+ * Idle keep-alive connections to targets; the most recently used one is reused first. A connection
+ * is not reused for an id that it has carried: a copy of the earlier answer could not be told from
+ * the answer to the later request. Confined to its event loop.
  */
 final class TargetConnectionPool {
 
@@ -36,6 +38,7 @@
   private final EventLoop loop;
   private final RelayProtocol protocol;
   private final UnexpectedBytesListener unexpectedBytes;
+  private final ConnectionReuseListener reuse;
   private final InstantSource clock;
   private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
 
@@ -43,27 +46,65 @@
       EventLoop loop,
       RelayProtocol protocol,
       UnexpectedBytesListener unexpectedBytes,
+      ConnectionReuseListener reuse,
       InstantSource clock) {
     this.loop = loop;
     this.protocol = protocol;
     this.unexpectedBytes = unexpectedBytes;
+    this.reuse = reuse;
     this.clock = clock;
   }
 
-  /** Reuses an idle connection or opens a new one. On failure nothing has been sent. */
+  /**
+   * Reuses an idle connection that has not carried a request, or opens a new one. On failure
+   * nothing has been sent.
+   *
+   * @param requestId id of the request; empty if it has none
+   */
   void acquire(
-      InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
-    Deque<TargetConnection> connections = idle.get(address.toString());
-    Instant now = clock.instant();
-    while (connections != null && !connections.isEmpty()) {
-      TargetConnection newest = connections.pop();
-      if (newest.isUsable(now)) {
-        opened.accept(newest);
-        return;
+      InetSocketAddress address,
+      String requestId,
+      Consumer<TargetConnection> opened,
+      Consumer<Throwable> failed) {
+    Optional<TargetConnection> reusable = takeIdle(address, requestId, clock.instant());
+    if (reusable.isPresent()) {
+      opened.accept(reusable.get());
+    } else {
+      connect(address, opened, failed);
+    }
+  }
+
+  /**
+   * Removes the newest idle connection that may carry a request. Those before it stay if they have
+   * carried it, and are closed if they are no longer usable.
+   */
+  private Optional<TargetConnection> takeIdle(
+      InetSocketAddress address, String requestId, Instant now) {
+    Iterator<TargetConnection> newestFirst =
+        idle.getOrDefault(address.toString(), new ArrayDeque<>()).iterator();
+    while (newestFirst.hasNext()) {
+      TargetConnection connection = newestFirst.next();
+      if (connection.isPoolable() && connection.mayHaveCarried(requestId)) {
+        recordNotReused(address, requestId, connection, ConnectionReuseListener.Cause.SAME_REQUEST);
+        continue;
       }
-      newest.close();
+      newestFirst.remove();
+      if (connection.isUsable(now)) {
+        return Optional.of(connection);
+      }
+      connection.close();
     }
-    connect(address, opened, failed);
+    return Optional.empty();
+  }
+
+  private void recordNotReused(
+      InetSocketAddress address,
+      String requestId,
+      TargetConnection connection,
+      ConnectionReuseListener.Cause cause) {
+    reuse.notReused(
+        new ConnectionReuseListener.UnreusedConnection(
+            address, requestId, connection.localPort(), cause));
   }
 
   /**
@@ -135,7 +176,10 @@
 
   /** Returns a connection whose response is complete to the pool, if it can be reused. */
   void release(InetSocketAddress address, TargetConnection connection) {
-    if (connection.isPoolable()) {
+    if (connection.isPoolable() && connection.isHistoryFull()) {
+      recordNotReused(address, "", connection, ConnectionReuseListener.Cause.HISTORY_FULL);
+      connection.close();
+    } else if (connection.isPoolable()) {
       connection.setReading(true);
       idle.computeIfAbsent(address.toString(), key -> new ArrayDeque<>()).push(connection);
     }
