Let tests play the rounds of a rollout of weights with a time of their own

No change of behaviour. The rounds of WeightsRollout take their time as an argument already; a test can now call one, stand in for the engines' answers (EngineOrders is an interface, HttpEngineOrders calls over HTTP) and for the announcement of a swapped engine.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -247,10 +247,10 @@
 
   private WeightsRollout weightsRollout(ControlInstance started, ControlService service) {
     EngineOrders orders =
-        new EngineOrders(
+        new HttpEngineOrders(
             edges.orders(), BufferingHttpClient.create(loops.next(), edges.relay(), clock));
     return new WeightsRollout(
-        settings.peer(), started, holder, orders, service, workers, log, clock);
+        settings.peer(), started, holder, orders, service::announce, workers, log, clock);
   }
 
   private ControlOptions options(Path folder) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -49,19 +49,30 @@
   private final ControlInstance instance;
   private final FleetViewHolder holder;
   private final EngineOrders orders;
-  private final ControlService service;
+  private final Announcer announcer;
   private final Executor workers;
   private final EventLog log;
   private final InstantSource clock;
   private final Set<String> swapping = ConcurrentHashMap.newKeySet();
   private long restingTerm;
 
+  /** Tells the fleet what a target holds. */
+  interface Announcer {
+
+    /**
+     * Tells the fleet.
+     *
+     * @throws ServingException if no control instance takes it
+     */
+    void announce(Announcement announcement) throws ServingException;
+  }
+
   WeightsRollout(
       String self,
       ControlInstance instance,
       FleetViewHolder holder,
       EngineOrders orders,
-      ControlService service,
+      Announcer announcer,
       Executor workers,
       EventLog log,
       InstantSource clock) {
@@ -69,7 +80,7 @@
     this.instance = instance;
     this.holder = holder;
     this.orders = orders;
-    this.service = service;
+    this.announcer = announcer;
     this.workers = workers;
     this.log = log;
     this.clock = clock;
@@ -88,7 +99,7 @@
   }
 
   /** A round that fails leaves the next one to try again. */
-  private void runRound(Instant now) {
+  void runRound(Instant now) {
     try {
       logRest(now);
       leadership(now).ifPresent(leading -> startSwaps(leading, now));
@@ -320,7 +331,7 @@
           isSwapped ? weights.withModelVersion(named.model() + '@' + named.version()) : weights);
     }
     try {
-      service.announce(newest.withLoaded(loaded).withSequence(newest.sequence() + 1));
+      announcer.announce(newest.withLoaded(loaded).withSequence(newest.sequence() + 1));
     } catch (ServingException e) {
       log.info(
           Event.of("weights-untold").with("target", engine.id()).with("cause", e.getMessage()));
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -30,4 +30,12 @@
         WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0), now);
     return holder;
   }
+
+  /** Replaces a view by one of engines and of the weights that operators name, at a later index. */
+  public static void replaceWeights(
+      FleetViewHolder holder, List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    long index = holder.current().index() + 1;
+    holder.apply(
+        WatchSnapshot.of(FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0), now);
+  }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/WeightsRolloutTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/WeightsRolloutTest.java
@@ -6,19 +6,12 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.control.Leadership;
-import org.geraniumwharf.control.StoreReader;
-import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.internal.fleet.FleetFixtures;
 import org.geraniumwharf.logging.EventLog;
-import org.geraniumwharf.schema.messages.ControlAnswer;
-import org.geraniumwharf.schema.messages.PeerMessage;
-import org.geraniumwharf.schema.messages.RaftMessage;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.targets.Announcement;
@@ -57,11 +50,11 @@
   private static WeightsRollout rolloutWith(Executor workers) {
     return new WeightsRollout(
         "control-1",
-        new LeadingInstance(),
+        new LeadingInstance(new Leadership(1, NOW, Duration.ZERO, true)),
         FleetFixtures.holderOfWeights(
             List.of(engine()), List.of(NamedWeights.of("model", 2, NOW.toEpochMilli())), NOW),
-        new EngineOrders(null, null),
-        new ControlService("control-1", null, null, null, null, EventLog.none(), () -> NOW),
+        new HttpEngineOrders(null, null),
+        announcement -> {},
         workers,
         EventLog.none(),
         () -> NOW);
@@ -86,47 +79,4 @@
             0);
     return TargetRecord.of(announcement, false, Optional.empty());
   }
-
-  /** Leads since its start. */
-  private static final class LeadingInstance implements ControlInstance {
-
-    @Override
-    public Optional<Leadership> leadership(Instant now) {
-      return Optional.of(new Leadership(1, NOW, Duration.ZERO, true));
-    }
-
-    @Override
-    public void receive(RaftMessage message) {}
-
-    @Override
-    public CompletableFuture<ControlAnswer> call(PeerMessage call) {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public void watch(long afterIndex, ViewSink sink) {}
-
-    @Override
-    public boolean isJoined() {
-      return true;
-    }
-
-    @Override
-    public void readStores(StoreReader reader) {}
-
-    @Override
-    public CompletableFuture<Throwable> failure() {
-      return new CompletableFuture<>();
-    }
-
-    @Override
-    public boolean isInitialised() {
-      return true;
-    }
-
-    @Override
-    public CompletableFuture<Void> shutdown() {
-      return CompletableFuture.completedFuture(null);
-    }
-  }
 }
