Pace the starts of swaps, the oldest weights first

Callers saw requests begin on weights replaced too long ago. Cause: the waves of a rollout were counted from the time at which the newest weights had been named. So each newer name began them anew with the same first engines, and the time itself was the difference of two processes' clocks after a change of leader.

The planner now paces what it starts, by the clock of the process that starts it: at most a third of the engines in any 1.2 s, whatever is named, those with the oldest weights first, engines that swap left out. A swap orders the newest weights of that moment instead of ending when a newer name comes; orders still carry the count that they expect, so one that arrives late behind a newer one is refused by the engine. An engine that falls behind starts after at most three waves, since each engine started before it goes behind it in the order.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -5,7 +5,9 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -54,6 +56,7 @@
   private final EventLog log;
   private final InstantSource clock;
   private final Set<String> swapping = ConcurrentHashMap.newKeySet();
+  private final Map<String, WavePlanner> planners = new HashMap<>();
   private long restingTerm;
 
   /** Tells the fleet what a target holds. */
@@ -140,17 +143,19 @@
       for (TargetRecord record : view.targets()) {
         if (isServing(record)) {
           version(record.announcement(), named.model())
-              .ifPresent(version -> engines.add(progress(record, named, version)));
+              .ifPresent(version -> engines.add(progress(record, named.model(), version)));
         }
       }
-      Duration sinceNamed = Duration.between(Instant.ofEpochMilli(named.atMillis()), now);
-      Duration sinceOrdering = Duration.between(ordersFrom(leading), now);
-      List<String> next = WavePlanner.nextEngines(engines, sinceNamed, sinceOrdering);
+      WavePlanner planner = planners.computeIfAbsent(named.model(), model -> WavePlanner.create());
+      List<String> next = planner.nextEngines(engines, named.version(), now);
       if (!next.isEmpty()) {
-        logWave(named, leading, sinceNamed, sinceOrdering, engines, next.size());
+        logWave(named, leading, now, engines, next.size());
       }
       for (String id : next) {
-        startSwap(view.target(id).orElseThrow().announcement(), named, leading);
+        Announcement engine = view.target(id).orElseThrow().announcement();
+        if (startSwap(engine, named, leading)) {
+          planner.recordStart(now);
+        }
       }
     }
   }
@@ -158,8 +163,7 @@
   private void logWave(
       NamedWeights named,
       Leadership leading,
-      Duration sinceNamed,
-      Duration sinceOrdering,
+      Instant now,
       List<WavePlanner.EngineProgress> engines,
       int started) {
     log.info(
@@ -167,10 +171,10 @@
             .with("model", named.model())
             .with("version", named.version())
             .with("term", leading.term())
-            .with("sinceNamedMillis", sinceNamed.toMillis())
-            .with("sinceOrderingMillis", sinceOrdering.toMillis())
+            .with("sinceNamedMillis", now.toEpochMilli() - named.atMillis())
+            .with("sinceOrderingMillis", Duration.between(ordersFrom(leading), now).toMillis())
             .with("engines", engines.size())
-            .with("current", count(engines, WavePlanner.EngineProgress::isCurrent))
+            .with("current", count(engines, engine -> engine.version() >= named.version()))
             .with("swapping", count(engines, WavePlanner.EngineProgress::isSwapping))
             .with("started", started));
   }
@@ -202,15 +206,13 @@
         && NumericAddress.parse(AnnouncedAddress.hostAndPort(announcement)).isPresent();
   }
 
-  private WavePlanner.EngineProgress progress(
-      TargetRecord record, NamedWeights named, long version) {
+  private WavePlanner.EngineProgress progress(TargetRecord record, String model, long version) {
     String id = record.announcement().id();
-    return new WavePlanner.EngineProgress(
-        id, version >= named.version(), swapping.contains(key(id, named)));
+    return new WavePlanner.EngineProgress(id, version, swapping.contains(key(id, model)));
   }
 
-  private static String key(String id, NamedWeights named) {
-    return id + '/' + named.model() + '@' + named.version();
+  private static String key(String id, String model) {
+    return id + '/' + model;
   }
 
   /** Returns the version of a model that an engine announces. */
@@ -223,8 +225,9 @@
         .findFirst();
   }
 
-  private void startSwap(Announcement engine, NamedWeights named, Leadership leading) {
-    String key = key(engine.id(), named);
+  /** Starts a swap; returns false if every worker is busy. */
+  private boolean startSwap(Announcement engine, NamedWeights named, Leadership leading) {
+    String key = key(engine.id(), named.model());
     swapping.add(key);
     log.info(
         Event.of("weights-swap")
@@ -233,20 +236,21 @@
             .with("version", named.version())
             .with("term", leading.term()));
     try {
-      workers.execute(() -> swapAndRelease(engine, named, leading, key));
+      workers.execute(() -> swapAndRelease(engine, named.model(), leading, key));
+      return true;
     } catch (RejectedExecutionException e) {
       swapping.remove(key);
       log.info(
           Event.of("weights-swap-delayed")
               .with("target", engine.id())
               .with("cause", "every worker is busy"));
+      return false;
     }
   }
 
-  private void swapAndRelease(
-      Announcement engine, NamedWeights named, Leadership leading, String key) {
+  private void swapAndRelease(Announcement engine, String model, Leadership leading, String key) {
     try {
-      swap(engine, named, leading);
+      swap(engine, model, leading);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
@@ -254,21 +258,26 @@
     }
   }
 
-  /** Orders, reads back and orders again until the engine holds the weights. */
-  private void swap(Announcement engine, NamedWeights named, Leadership leading)
+  /**
+   * Orders, reads back and orders again until the engine holds newer weights than at first. Each
+   * order is for the newest weights, so that a name in between costs no second swap.
+   */
+  private void swap(Announcement engine, String model, Leadership leading)
       throws InterruptedException {
+    long replaced = version(engine, model).orElse(0L);
     Instant begun = clock.instant();
     Instant end = begun.plus(LONGEST_SWAP);
-    while (clock.instant().isBefore(end) && isWanted(engine, named, leading)) {
+    while (clock.instant().isBefore(end) && isWanted(engine, leading)) {
       try {
         OrderProtocol.EngineReport report = orders.report(engine);
-        if (report.versions().getOrDefault(named.model(), 0L) >= named.version()) {
-          logSwapped(engine, named, Duration.between(begun, clock.instant()));
-          announce(engine, named);
+        long held = report.versions().getOrDefault(model, 0L);
+        if (held > replaced) {
+          logSwapped(engine, model, held, Duration.between(begun, clock.instant()));
+          announce(engine, model, held);
           return;
         }
         if (!report.isBusy()) {
-          order(engine, named, leading, report.orders());
+          order(engine, model, leading, report.orders());
         }
       } catch (IOException e) {
         log.info(
@@ -280,55 +289,52 @@
     }
   }
 
-  private void logSwapped(Announcement engine, NamedWeights named, Duration duration) {
+  private void logSwapped(Announcement engine, String model, long version, Duration duration) {
     log.info(
         Event.of("weights-swapped")
             .with("target", engine.id())
-            .with("model", named.model())
-            .with("version", named.version())
+            .with("model", model)
+            .with("version", version)
             .with("millis", duration.toMillis()));
   }
 
-  private boolean isWanted(Announcement engine, NamedWeights named, Leadership leading) {
+  private boolean isWanted(Announcement engine, Leadership leading) {
     Optional<TargetRecord> record = holder.current().target(engine.id());
     boolean isSameStart =
         record.isPresent()
             && isServing(record.get())
             && record.get().announcement().incarnation() == engine.incarnation();
-    boolean isNewest =
-        holder.current().namedWeights(named.model()).filter(named::equals).isPresent();
     boolean isLeading =
         leadership(clock.instant()).filter(now -> now.term() == leading.term()).isPresent();
-    return isSameStart && isNewest && isLeading;
+    return isSameStart && isLeading;
   }
 
-  private void order(
-      Announcement engine, NamedWeights named, Leadership leading, long expectedOrders)
+  private void order(Announcement engine, String model, Leadership leading, long expectedOrders)
       throws IOException, InterruptedException {
+    long version = holder.current().namedWeights(model).orElseThrow().version();
     int status =
         orders.order(
             engine,
             new OrderProtocol.WeightsOrder(
-                engine.id(), named.model(), named.version(), self, leading.term(), expectedOrders));
+                engine.id(), model, version, self, leading.term(), expectedOrders));
     log.info(
         Event.of("weights-ordered")
             .with("target", engine.id())
-            .with("model", named.model())
-            .with("version", named.version())
+            .with("model", model)
+            .with("version", version)
             .with("fence", leading.term())
             .with("expectedOrders", expectedOrders)
             .with("status", status));
   }
 
   /** Tells the fleet at once, ahead of the engine's own next heartbeat. */
-  private void announce(Announcement engine, NamedWeights named) {
+  private void announce(Announcement engine, String model, long version) {
     Announcement newest =
         holder.current().target(engine.id()).map(TargetRecord::announcement).orElse(engine);
     List<LoadedWeights> loaded = new ArrayList<>();
     for (LoadedWeights weights : newest.loaded()) {
-      boolean isSwapped = weights.modelVersion().startsWith(named.model() + '@');
-      loaded.add(
-          isSwapped ? weights.withModelVersion(named.model() + '@' + named.version()) : weights);
+      boolean isSwapped = weights.modelVersion().startsWith(model + '@');
+      loaded.add(isSwapped ? weights.withModelVersion(model + '@' + version) : weights);
     }
     try {
       announcer.announce(newest.withLoaded(loaded).withSequence(newest.sequence() + 1));
