Send no request to a target whose weights were replaced too long ago

Callers saw requests begin on weights that had been replaced for longer than allowed, on one engine each, at entries of several data centres. Whatever keeps an engine from its order (it turned a call of control away with Retry-After, its orders get lost, no leader yet), the entries went on sending to it: they expect the version that the engine announced and never asked how long that had been replaced.

An entry now counts, for each version that was named, the time since it can first have been named, in the stretch for which its view has been confirmed without a gap of 2 s and in all such stretches. A target whose weights were replaced for the bound less a quarter of it, or at which placement expects the first token later than that, gets no request; weights that are overdue once stay so. If that holds for every target of a service, the request is refused at once with 503, as not run, with Retry-After. Nothing depends on the progress of the rollout or on another process's clock. Settings [relay] replaced-weights-millis and -total-millis, default 6 s and 8.4 s.

Log line target-weights-overdue, counter weights_overdue_total{kind}. All stretches count, also short ones: that is stricter than it need be, and simpler.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
@@ -108,6 +108,14 @@
         .withRetryAfter(SHORT_RETRY_AFTER);
   }
 
+  /** Returns the error for a service whose targets have only weights replaced too long ago. */
+  public static ServingException weightsOverdue(String service) {
+    return notRun(
+            ErrorKind.NO_TARGET,
+            "the weights of every target of " + service + " were replaced too long ago")
+        .withRetryAfter(SHORT_RETRY_AFTER);
+  }
+
   /** Returns the error for a prompt with a part under which targets crashed. */
   public static ServingException promptQuarantined(String part) {
     return notRun(
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -53,9 +53,11 @@
   private static final double PLAIN_JITTER_MILLIS = 25;
 
   private final String dataCentre;
+  private final BeginLimit limit;
 
-  private RelayPlacement(String dataCentre) {
+  private RelayPlacement(String dataCentre, BeginLimit limit) {
     this.dataCentre = dataCentre;
+    this.limit = limit;
   }
 
   /**
@@ -64,7 +66,12 @@
    * @param dataCentre data centre of the instance
    */
   public static RelayPlacement forDataCentre(String dataCentre) {
-    return new RelayPlacement(dataCentre);
+    return new RelayPlacement(dataCentre, BeginLimit.none());
+  }
+
+  /** Returns the same policy with a limit to the time within which requests may begin. */
+  public RelayPlacement withLimit(BeginLimit newLimit) {
+    return new RelayPlacement(dataCentre, newLimit);
   }
 
   /**
@@ -148,12 +155,21 @@
       RelayLoadTable.Load load = table.load(target, resolved, now);
       if (!excluded.contains(target.id()) && load.isAccepting()) {
         evaluate(resolved, target, preferred, load, storedTokens, rates, instances)
+            .filter(choice -> beginsInTime(choice, now))
             .ifPresent(open::add);
       }
     }
     return open.stream();
   }
 
+  /** Returns whether a request is expected to begin at a target within its limit. */
+  private boolean beginsInTime(Choice choice, Instant now) {
+    return limit
+        .timeLeft(choice.target(), now)
+        .filter(left -> choice.costMillis() >= left.toMillis())
+        .isEmpty();
+  }
+
   /** A choice with the rank, from 0 to 1, that a hash of the request gives its target. */
   private record RankedChoice(Choice choice, double rank) {}
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTarget.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTarget.java
@@ -8,6 +8,7 @@
  * @param address host:port
  * @param dataCentre data centre of the target
  * @param slots number of requests that it runs at the same time; 0 when unknown
+ * @param model model whose weights it has; empty when it has none
  * @param weightsVersion version of its weights; 0 when it has none
  */
 public record RelayTarget(
@@ -16,4 +17,5 @@
     String address,
     String dataCentre,
     int slots,
+    String model,
     long weightsVersion) {}
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -164,6 +165,29 @@
     assertNotEquals(TARGETS.get(0), ejected.orElseThrow().target());
   }
 
+  @Test
+  void should_not_choose_a_target_at_which_the_request_would_begin_too_late() {
+    RelayPlacement.Choice preferred = choose(DRAFT).orElseThrow();
+    BeginLimit tooShort = limitAt(preferred.target(), millis(preferred.costMillis() - 1));
+    BeginLimit longEnough = limitAt(preferred.target(), millis(preferred.costMillis() + 1));
+
+    assertNotEquals(preferred.target(), choose(DRAFT, tooShort).orElseThrow().target());
+    assertEquals(preferred.target(), choose(DRAFT, longEnough).orElseThrow().target());
+  }
+
+  @Test
+  void should_choose_no_target_for_a_started_response_at_which_none_may_begin() {
+    BeginLimit none = (target, now) -> Optional.of(Duration.ZERO);
+
+    Optional<RelayPlacement.Choice> choice =
+        RelayPlacement.forDataCentre("dc-1")
+            .withLimit(none)
+            .chooseIncludingEjected(
+                DRAFT, TARGETS, load, TestRequests.RATES, Set.of(), INSTANCES, TestRequests.NOW);
+
+    assertTrue(choice.isEmpty());
+  }
+
   @Test
   void should_choose_nothing_when_every_target_is_full() {
     ResolvedRequest resolved = TestRequests.plain(Execution.IDEMPOTENT);
@@ -189,8 +213,21 @@
   }
 
   private Optional<RelayPlacement.Choice> choose(ResolvedRequest resolved) {
+    return choose(resolved, BeginLimit.none());
+  }
+
+  private Optional<RelayPlacement.Choice> choose(ResolvedRequest resolved, BeginLimit limit) {
     return RelayPlacement.forDataCentre("dc-1")
+        .withLimit(limit)
         .choose(
             resolved, TARGETS, load, 0, TestRequests.RATES, Set.of(), INSTANCES, TestRequests.NOW);
   }
+
+  private static BeginLimit limitAt(RelayTarget limited, Duration timeLeft) {
+    return (target, now) -> target.equals(limited) ? Optional.of(timeLeft) : Optional.empty();
+  }
+
+  private static Duration millis(double millis) {
+    return Duration.ofMillis(Math.round(millis));
+  }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
@@ -125,7 +125,13 @@
 
   private static RelayTarget laterProcess() {
     return new RelayTarget(
-        TARGET.id(), TARGET.incarnation() + 1, TARGET.address(), TARGET.dataCentre(), 1, 1);
+        TARGET.id(),
+        TARGET.incarnation() + 1,
+        TARGET.address(),
+        TARGET.dataCentre(),
+        1,
+        "model",
+        1);
   }
 
   private static Optional<Duration> seconds(int seconds) {
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -115,6 +115,6 @@
   }
 
   static RelayTarget target(String id) {
-    return new RelayTarget(id, 1, "10.0.0.1:80", "dc-1", SLOTS, 1);
+    return new RelayTarget(id, 1, "10.0.0.1:80", "dc-1", SLOTS, "model", 1);
   }
 }
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/time/ConfirmedTimeTest.java
@@ -0,0 +1,58 @@
+package org.geraniumwharf.time;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class ConfirmedTimeTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
+
+  @Test
+  void should_count_one_stretch_over_confirmations_without_a_gap() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW).confirmed(NOW.plusSeconds(2)).confirmed(NOW.plusSeconds(3));
+
+    assertEquals(Duration.ofSeconds(4), time.inStretchSince(NOW, NOW.plusSeconds(4)));
+    assertEquals(Duration.ofSeconds(4), time.total(NOW.plusSeconds(4)));
+  }
+
+  @Test
+  void should_count_from_a_later_time() {
+    ConfirmedTime time = ConfirmedTime.startingAt(NOW).confirmed(NOW.plusSeconds(2));
+
+    Duration counted = time.inStretchSince(NOW.plusSeconds(1), NOW.plusSeconds(3));
+
+    assertEquals(Duration.ofSeconds(2), counted);
+  }
+
+  @Test
+  void should_stop_counting_when_confirmations_stop() {
+    ConfirmedTime time = ConfirmedTime.startingAt(NOW);
+
+    assertEquals(ConfirmedTime.MAX_GAP, time.total(NOW.plusSeconds(60)));
+  }
+
+  @Test
+  void should_begin_a_stretch_after_a_gap_and_keep_the_earlier_ones_in_the_total() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW)
+            .confirmed(NOW.plusSeconds(1))
+            .confirmed(NOW.plusSeconds(11))
+            .confirmed(NOW.plusSeconds(12));
+
+    assertEquals(Duration.ofSeconds(1), time.inStretchSince(NOW, NOW.plusSeconds(12)));
+    assertEquals(
+        Duration.ofSeconds(2).plus(ConfirmedTime.MAX_GAP), time.total(NOW.plusSeconds(12)));
+  }
+
+  @Test
+  void should_ignore_a_confirmation_before_the_last() {
+    ConfirmedTime time = ConfirmedTime.startingAt(NOW).confirmed(NOW.minusSeconds(5));
+
+    assertEquals(NOW, time.last());
+    assertEquals(Duration.ofSeconds(1), time.total(NOW.plusSeconds(1)));
+  }
+}
--- /dev/null
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
@@ -0,0 +1,182 @@
+package org.geraniumwharf.weights;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.Random;
+import org.geraniumwharf.time.ConfirmedTime;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.RepetitionInfo;
+import org.junit.jupiter.api.Test;
+
+class ReplacedWeightsTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
+  private static final Duration STEP = Duration.ofMillis(100);
+  private static final Duration IN_STRETCH = Duration.ofSeconds(6);
+  private static final Duration IN_TOTAL = Duration.ofMillis(8400);
+  private static final Duration MARGIN = Duration.ofMillis(1500);
+  private static final Duration SHORTEST_STRETCH = Duration.ofSeconds(2);
+  private static final String MODEL = "model";
+
+  private final ReplacedWeights weights =
+      ReplacedWeights.within(new ReplacedWeights.Bounds(IN_STRETCH, IN_TOTAL));
+  private Optional<ConfirmedTime> confirmed = Optional.empty();
+  private Instant now = NOW;
+
+  @Test
+  void should_not_limit_the_newest_weights() {
+    name(2);
+    confirmFor(Duration.ofMinutes(1));
+
+    assertTrue(timeLeft(2).isEmpty());
+    assertTrue(timeLeft(3).isEmpty());
+  }
+
+  @Test
+  void should_not_limit_weights_of_which_no_newer_ones_were_named() {
+    assertTrue(timeLeft(1).isEmpty());
+  }
+
+  @Test
+  void should_end_the_use_of_replaced_weights_a_margin_before_the_bound() {
+    confirmFor(Duration.ofSeconds(10));
+    name(2);
+
+    confirmFor(Duration.ofSeconds(4));
+
+    assertEquals(IN_STRETCH.minus(MARGIN).minusSeconds(4), timeLeft(1).orElseThrow());
+    confirmFor(Duration.ofMillis(500));
+    assertEquals(Duration.ZERO, timeLeft(1).orElseThrow());
+  }
+
+  // Guards against a count that begins anew with each newer name.
+  @Test
+  void should_count_from_the_first_newer_name() {
+    for (long version = 2; version < 8; version++) {
+      name(version);
+      confirmFor(Duration.ofSeconds(1));
+    }
+
+    assertTrue(isOverdue(1));
+    assertTrue(isOverdue(2));
+    assertFalse(isOverdue(4));
+  }
+
+  @Test
+  void should_not_count_time_without_a_confirmed_view() {
+    confirmFor(Duration.ofSeconds(1));
+    name(2);
+    confirmFor(Duration.ofSeconds(1));
+
+    now = now.plusSeconds(60);
+
+    assertFalse(isOverdue(1));
+  }
+
+  @Test
+  void should_count_a_stretch_anew_after_a_gap() {
+    confirmFor(Duration.ofSeconds(1));
+    name(2);
+    confirmFor(Duration.ofMillis(500));
+    now = now.plusSeconds(10);
+
+    confirmFor(Duration.ofSeconds(4));
+
+    assertFalse(isOverdue(1));
+    confirmFor(Duration.ofMillis(600));
+    assertTrue(isOverdue(1));
+  }
+
+  @Test
+  void should_add_up_stretches() {
+    confirmFor(Duration.ofSeconds(1));
+    name(2);
+    confirmFor(Duration.ofSeconds(4));
+    now = now.plusSeconds(10);
+
+    confirmFor(Duration.ofSeconds(3));
+
+    assertTrue(isOverdue(1));
+  }
+
+  @Test
+  void should_keep_weights_overdue_after_a_gap() {
+    name(2);
+    confirmFor(Duration.ofSeconds(6));
+    assertTrue(isOverdue(1));
+
+    now = now.plusSeconds(10);
+    confirmFor(Duration.ofMillis(300));
+
+    assertTrue(isOverdue(1));
+  }
+
+  // Guards against names without end that fill the memory or free weights from their limit.
+  @Test
+  void should_limit_weights_among_more_names_than_are_counted_apart() {
+    confirmFor(Duration.ofSeconds(1));
+    for (long version = 2; version < 1000; version++) {
+      name(version);
+    }
+    confirmFor(Duration.ofSeconds(6));
+
+    assertTrue(isOverdue(1));
+    assertTrue(isOverdue(500));
+    assertTrue(isOverdue(998));
+    assertTrue(timeLeft(999).isEmpty());
+  }
+
+  @RepeatedTest(300)
+  void should_never_allow_weights_beyond_the_bounds(RepetitionInfo info) {
+    Random random = new Random(info.getCurrentRepetition());
+    Duration stretch = Duration.ZERO;
+    Duration total = Duration.ZERO;
+    confirmFor(Duration.ofSeconds(1));
+    name(2);
+
+    for (int part = 0; part < 8; part++) {
+      for (int step = random.nextInt(45); step > 0; step--) {
+        confirmFor(STEP);
+        stretch = stretch.plus(STEP);
+        Duration counted = stretch.compareTo(SHORTEST_STRETCH) < 0 ? total : total.plus(stretch);
+        boolean isBeyond =
+            stretch.compareTo(IN_STRETCH.minus(MARGIN)) > 0
+                || counted.compareTo(IN_TOTAL.minus(MARGIN)) > 0;
+        assertTrue(!isBeyond || isOverdue(1), "seed " + info.getCurrentRepetition());
+      }
+      total = stretch.compareTo(SHORTEST_STRETCH) < 0 ? total : total.plus(stretch);
+      stretch = Duration.ZERO;
+      now = now.plusMillis(2100 + random.nextInt(3000));
+      if (random.nextBoolean()) {
+        name(3 + part);
+      }
+    }
+  }
+
+  private void name(long version) {
+    weights.recordNamed(MODEL, version, confirmed, now);
+  }
+
+  private void confirmFor(Duration duration) {
+    Instant end = now.plus(duration);
+    while (now.isBefore(end)) {
+      now = now.plus(STEP);
+      confirmed =
+          Optional.of(
+              confirmed.map(time -> time.confirmed(now)).orElse(ConfirmedTime.startingAt(now)));
+    }
+  }
+
+  private Optional<Duration> timeLeft(long version) {
+    return weights.timeLeft(MODEL, version, confirmed, now);
+  }
+
+  private boolean isOverdue(long version) {
+    return timeLeft(version).filter(Duration.ZERO::equals).isPresent();
+  }
+}
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
+import org.geraniumwharf.time.ConfirmedTime;
 
 /**
  * The newest view. Readers never block; a message of a lower index than the view's changes nothing,
@@ -22,6 +23,7 @@
       new CopyOnWriteArrayList<>();
   private volatile FleetSnapshot current = FleetSnapshot.empty();
   private volatile Instant freshAt = Instant.MIN;
+  private volatile Optional<ConfirmedTime> confirmedTime = Optional.empty();
   private volatile String watched = "none";
   private volatile Origin origin = new Origin("none", Duration.ZERO, Optional.empty());
 
@@ -58,6 +60,11 @@
         : Optional.of(Duration.between(confirmed, now));
   }
 
+  /** Returns the time for which the view has been confirmed; empty if it never was. */
+  public Optional<ConfirmedTime> confirmedTime() {
+    return confirmedTime;
+  }
+
   /**
    * Calls a listener with the old and the new view after each change. A listener that fails keeps
    * neither the view nor the other listeners from the change.
@@ -110,6 +117,11 @@
     Instant confirmed = now.minusMillis(ageMillis);
     if (index >= current.index() && confirmed.isAfter(freshAt)) {
       freshAt = confirmed;
+      confirmedTime =
+          Optional.of(
+              confirmedTime
+                  .map(time -> time.confirmed(confirmed))
+                  .orElseGet(() -> ConfirmedTime.startingAt(confirmed)));
     }
     return new Received(index, Duration.ofMillis(ageMillis));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -27,6 +27,9 @@
 
   private final Counter quarantinedRequests = registry.counter("quarantined_requests_total");
 
+  private final Counter weightsOverdue = registry.counter("weights_overdue_total.target");
+  private final Counter weightsOverdueRequests = registry.counter("weights_overdue_total.request");
+
   private final Counter targetsLeaving = registry.counter("targets_closed_total.leaving");
   private final Counter targetsPaused = registry.counter("targets_closed_total.paused");
 
@@ -77,6 +80,16 @@
     quarantinedRequests.inc();
   }
 
+  /** Records a target that gets no further requests as its weights were replaced too long ago. */
+  public void weightsOverdue() {
+    weightsOverdue.inc();
+  }
+
+  /** Records a request that was refused because that holds for every target of its service. */
+  public void requestWithoutUsableWeights() {
+    weightsOverdueRequests.inc();
+  }
+
   /**
    * Records that a target stated in a response that it wants no further requests.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -270,7 +270,11 @@
 
   private void startEntry() throws InterruptedException {
     Relay.Rules rules =
-        new Relay.Rules(settings.dataCentre(), settings.retryShare(), settings.retryReserve());
+        new Relay.Rules(
+            settings.dataCentre(),
+            settings.retryShare(),
+            settings.retryReserve(),
+            settings.replacedWeights());
     Relay started =
         Relay.start(
             holder,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.weights.ReplacedWeights;
 
 /**
  * Settings of one process of a relaying fleet.
@@ -22,6 +23,7 @@
  * @param clusterKey key that proves membership between processes
  * @param retryShare repeats of all instances together, relative to the requests
  * @param retryReserve repeats of all instances together beyond that share
+ * @param replacedWeights time after which no request may begin on replaced weights
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -39,6 +41,7 @@
     String clusterKey,
     double retryShare,
     double retryReserve,
+    ReplacedWeights.Bounds replacedWeights,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -11,6 +11,7 @@
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
+import org.geraniumwharf.weights.ReplacedWeights;
 
 /** Reads the settings of a node from an INI file and reports every fault with section and key. */
 public final class NodeSettingsLoader {
@@ -58,6 +59,7 @@
             clusterKey(),
             number("relay", "retry-share"),
             number("relay", "retry-reserve"),
+            replacedWeights(),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -90,6 +92,13 @@
     return key;
   }
 
+  private ReplacedWeights.Bounds replacedWeights() {
+    ReplacedWeights.Bounds defaults = ReplacedWeights.Bounds.DEFAULT;
+    return new ReplacedWeights.Bounds(
+        optionalMillis("relay", "replaced-weights-millis", defaults.inStretch()),
+        optionalMillis("relay", "replaced-weights-total-millis", defaults.inTotal()));
+  }
+
   private Optional<String> optional(String section, String key) {
     String value = ini.getSection(section).getString(key, "").strip();
     return value.isEmpty() ? Optional.empty() : Optional.of(value);
@@ -129,6 +138,18 @@
     return value.equals("true");
   }
 
+  /** Reads a time above zero, or takes the default if it is missing. */
+  private Duration optionalMillis(String section, String key, Duration absent) {
+    if (optional(section, key).isEmpty()) {
+      return absent;
+    }
+    Duration value = Duration.ofMillis((long) number(section, key));
+    if (value.compareTo(Duration.ZERO) <= 0) {
+      faults.add("[" + section + "] " + key + ": must be above 0");
+    }
+    return value;
+  }
+
   private double number(String section, String key) {
     String value = required(section, key);
     try {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -10,6 +10,7 @@
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayLoadTable;
+import org.geraniumwharf.weights.ReplacedWeights;
 
 /** A running relay, which forwards HTTP requests of callers to targets. */
 public final class Relay {
@@ -26,8 +27,10 @@
    * @param dataCentre data centre of this instance
    * @param retryShare retries that all instances together may send, as a fraction of the requests
    * @param retryReserve retries that all instances together may send beyond that share
+   * @param weights time after which no request may begin on replaced weights
    */
-  public record Rules(String dataCentre, double retryShare, double retryReserve) {}
+  public record Rules(
+      String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {}
 
   /**
    * Starts to accept connections of callers.
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -154,6 +154,12 @@
       reject(quarantined.get());
       return;
     }
+    Optional<ServingException> overdue = relay.findOverdue(request, now);
+    if (overdue.isPresent()) {
+      Duration remaining = Duration.between(now, request.deadline());
+      reject(overdue.get().withRetryAfter(noTargetRetryAfter(remaining)));
+      return;
+    }
     RelayQueue<RelayExchange> queue = relay.queue(request);
     boolean isDispatchable =
         queueEntry.isPresent() || !queue.mustQueue(request.priority(), request.footprint());
@@ -175,13 +181,13 @@
     List<RelayTarget> untried =
         relay.admission().routing().targetsOf(request.service().name()).stream()
             .filter(target -> !triedTargets.contains(target.id()))
+            .filter(target -> !relay.isOverdue(target, now))
             .toList();
     Optional<Instant> opensAt = relay.load().opensAt(untried, now);
     if (opensAt.isEmpty()) {
       reject(
           ServingErrors.noTarget(request.route().name())
-              .withRetryAfter(
-                  RetryAfter.jitteredDelay(parsedRequest.id(), NO_TARGET_RETRY_AFTER, remaining)));
+              .withRetryAfter(noTargetRetryAfter(remaining)));
       return;
     }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request.deadline(), now)))) {
@@ -199,6 +205,10 @@
     scheduleQueueRetry();
   }
 
+  private Duration noTargetRetryAfter(Duration remaining) {
+    return RetryAfter.jitteredDelay(parsedRequest.id(), NO_TARGET_RETRY_AFTER, remaining);
+  }
+
   /**
    * Dispatches a queued request periodically, since nothing wakes it when the ejection or backoff
    * of a target ends.
@@ -267,7 +277,7 @@
       deadlineExceeded();
       return;
     }
-    if (relay.load().isClosed(next.target(), now)) {
+    if (relay.load().isClosed(next.target(), now) || relay.isOverdue(next.target(), now)) {
       caller.targetPool().release(addressOf(next), connection);
       closedWhileConnecting(next);
       return;
@@ -290,7 +300,7 @@
         TargetRequests.forward(relay.protocol(), httpRequest, forwarded), parsedRequest.id(), next);
   }
 
-  /** Places a request again whose target asked for no more while the connection was opened. */
+  /** Places a request again whose target may get no more since its connection was asked for. */
   private void closedWhileConnecting(TargetCall unsent) {
     triedTargets.remove(unsent.target().id());
     if (endCall(unsent)) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -45,6 +45,7 @@
   private final RelayProtocol protocol;
   private final RelayPlacement placement;
   private final RelayLoadTable load;
+  private final WeightsLimit weights;
   private final LoggedQuarantine quarantine;
   private final Relay.Rules rules;
   private final IntSupplier liveInstances;
@@ -63,6 +64,7 @@
       KnownStores stores,
       Relay.Rules rules,
       RelayLoadTable load,
+      WeightsLimit weights,
       LoggedQuarantine quarantine,
       IntSupplier liveInstances,
       DaemonMetrics metrics,
@@ -70,10 +72,11 @@
       InstantSource clock) {
     this.transfers = RelayTransfers.create(admission, stores);
     this.load = load;
+    this.weights = weights;
     this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
-    this.placement = RelayPlacement.forDataCentre(rules.dataCentre());
+    this.placement = RelayPlacement.forDataCentre(rules.dataCentre()).withLimit(weights);
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -99,6 +102,8 @@
       EventLog log,
       InstantSource clock) {
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
+    WeightsLimit weights =
+        WeightsLimit.create(holder, rules.weights(), metrics, log, clock.instant());
     RelayState relay =
         new RelayState(
             admission,
@@ -106,6 +111,7 @@
             stores,
             rules,
             load,
+            weights,
             quarantine,
             liveInstances,
             metrics,
@@ -114,6 +120,8 @@
     holder.onChange(
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
+          weights.recordNamed(after, relay.now());
+          weights.retainTargets(admission.routing().targetIds());
           relay.queues.keySet().forEach(relay::wakeQueued);
         });
     return relay;
@@ -150,6 +158,21 @@
     return part.map(ServingErrors::promptQuarantined);
   }
 
+  /** Returns whether no request may begin at a target because its weights were replaced. */
+  boolean isOverdue(RelayTarget target, Instant now) {
+    return weights.isOverdue(target, now);
+  }
+
+  /** Returns the error for a request whose targets all have weights replaced too long ago. */
+  Optional<ServingException> findOverdue(ResolvedRequest request, Instant now) {
+    String service = request.service().name();
+    if (!weights.isEveryOverdue(admission.routing().targetsOf(service), now)) {
+      return Optional.empty();
+    }
+    metrics.requestWithoutUsableWeights();
+    return Optional.of(ServingErrors.weightsOverdue(service));
+  }
+
   /** Records a complete answer to a request. */
   void recordSound(ResolvedRequest request) {
     if (request.isGeneration()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -78,6 +78,7 @@
             AnnouncedAddress.hostAndPort(announcement),
             announcement.dataCentre(),
             announcement.slots(),
+            model(announcement),
             version.get());
     targetsByService
         .computeIfAbsent(announcement.service().orElseThrow(), name -> new ArrayList<>())
@@ -97,6 +98,15 @@
     return WeightsVersion.parse(name.substring(name.lastIndexOf('@') + 1));
   }
 
+  /** Returns the model of the first weights; empty without weights. */
+  private static String model(Announcement announcement) {
+    if (announcement.loaded().isEmpty()) {
+      return "";
+    }
+    String name = announcement.loaded().get(0).modelVersion();
+    return name.substring(0, Math.max(0, name.lastIndexOf('@')));
+  }
+
   FleetSnapshot view() {
     return view;
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/DrainWhileAcceptingTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/DrainWhileAcceptingTest.java
@@ -19,6 +19,7 @@
 import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayLoadTable;
+import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -49,7 +50,7 @@
             ReadinessFixtures.withoutView(holder),
             null,
             KnownStores.create(log),
-            new Relay.Rules("dc-1", 0.1, 10),
+            new Relay.Rules("dc-1", 0.1, 10, ReplacedWeights.Bounds.DEFAULT),
             RelayLoadTable.forInstance("entry-1"),
             LoggedQuarantine.create(log),
             () -> 1,
--- /dev/null
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -0,0 +1,112 @@
+package org.geraniumwharf.internal.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumwharf.internal.fleet.FleetFixtures;
+import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.RelayTarget;
+import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.weights.ReplacedWeights;
+import org.junit.jupiter.api.Test;
+
+class WeightsLimitTest {
+
+  private static final Instant NOW = Instant.ofEpochSecond(1_000_000);
+  private static final RelayTarget OLD = target("engine-1", 1);
+  private static final RelayTarget NEW = target("engine-2", 2);
+  private static final RelayTarget PLAIN =
+      new RelayTarget("plain-1", 1, "10.0.0.3:80", "dc-1", 4, "", 0);
+
+  private final List<String> lines = new ArrayList<>();
+  private final DaemonMetrics metrics = DaemonMetrics.create();
+  private final FleetViewHolder holder =
+      FleetFixtures.holderOfWeights(List.of(), List.of(named(2)), NOW);
+  private final WeightsLimit limit =
+      WeightsLimit.create(holder, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+
+  @Test
+  void should_exclude_a_target_whose_weights_the_first_view_already_replaced() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+
+    assertTrue(limit.isOverdue(OLD, later));
+    assertFalse(limit.isOverdue(NEW, later));
+    assertFalse(limit.isOverdue(PLAIN, later));
+  }
+
+  @Test
+  void should_take_the_names_of_later_views() {
+    FleetFixtures.replaceWeights(holder, List.of(), List.of(named(3)), NOW.plusSeconds(1));
+    limit.recordNamed(holder.current(), NOW.plusSeconds(1));
+
+    Optional<Duration> left = limit.timeLeft(NEW, NOW.plusSeconds(2));
+
+    assertTrue(left.orElseThrow().compareTo(Duration.ofSeconds(4)) < 0);
+  }
+
+  @Test
+  void should_log_and_count_an_excluded_target_once() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+
+    limit.isOverdue(OLD, later);
+    limit.isOverdue(OLD, later);
+
+    assertEquals(1, lines.size());
+    assertTrue(
+        lines
+            .get(0)
+            .startsWith(
+                "event=target-weights-overdue target=engine-1 incarnation=1 model=model"
+                    + " weights=1 namedWeights=2"),
+        lines.get(0));
+    assertTrue(metrics.prometheusText().contains("weights_overdue_total{kind=\"target\"} 1"));
+  }
+
+  @Test
+  void should_report_that_no_target_may_be_used_only_if_there_are_any() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+
+    assertTrue(limit.isEveryOverdue(List.of(OLD), later));
+    assertFalse(limit.isEveryOverdue(List.of(OLD, NEW), later));
+    assertFalse(limit.isEveryOverdue(List.of(), later));
+  }
+
+  private Instant confirmFor(Duration duration) {
+    Instant end = NOW.plus(duration);
+    for (Instant at = NOW; !at.isAfter(end); at = at.plusMillis(500)) {
+      FleetFixtures.replaceWeights(holder, List.of(), List.of(named(2)), at);
+    }
+    return end;
+  }
+
+  private static NamedWeights named(long version) {
+    return NamedWeights.of("model", version, NOW.toEpochMilli());
+  }
+
+  private static RelayTarget target(String id, long version) {
+    return new RelayTarget(id, 1, "10.0.0.1:80", "dc-1", 4, "model", version);
+  }
+
+  /** Keeps the lines of a log. */
+  private record LineLog(List<String> lines) implements EventLog {
+
+    @Override
+    public void info(Event event) {
+      lines.add(event.line());
+    }
+
+    @Override
+    public void warn(Event event) {
+      lines.add(event.line());
+    }
+  }
+}
