--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -247,10 +247,10 @@
 
   private WeightsRollout weightsRollout(ControlInstance started, ControlService service) {
     EngineOrders orders =
-        new EngineOrders(
+        new HttpEngineOrders(
             edges.orders(), BufferingHttpClient.create(loops.next(), edges.relay(), clock));
     return new WeightsRollout(
-        settings.peer(), started, holder, orders, service, workers, log, clock);
+        settings.peer(), started, holder, orders, service::announce, workers, log, clock);
   }
 
   private ControlOptions options(Path folder) {
@@ -270,7 +270,11 @@
 
   private void startEntry() throws InterruptedException {
     Relay.Rules rules =
-        new Relay.Rules(settings.dataCentre(), settings.retryShare(), settings.retryReserve());
+        new Relay.Rules(
+            settings.dataCentre(),
+            settings.retryShare(),
+            settings.retryReserve(),
+            settings.replacedWeights());
     Relay started =
         Relay.start(
             holder,
