Keep an equal part of unneeded limits for daemons whose callers pause

Cause: the leader divided 95 % of each limit in proportion to what the daemons had been asked lately, however little that was. A daemon whose callers waited for their answers (an engine that loads, a frozen leader) demanded nothing for a second or two and lost its whole share to the others, which didn't need it. When its callers went on it had a burst of a few requests until its own heartbeat had told of them and the others' heartbeats had given something back.

Change: a heartbeat tells which part of its organisation's limits a daemon needs (limitFraction: requests, tokens or concurrency, whichever needs most). Each daemon gets that and an equal part of what nobody needs; only demands above the limit are scaled down, as before.

Why it works: what a daemon may admit at once no longer depends on what it admitted lately, unless the limit is short.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/LimitShareAllocator.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/LimitShareAllocator.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,11 +11,13 @@
 import org.geraniumwharf.schema.messages.OrganisationShare;
 
 /**
- * Divides each organisation's limits between entry instances in proportion to demand. The shares in
- * force never exceed the whole limit: an allocation only uses what no other daemon holds, and the
- * share of an unresponsive daemon stays reserved until it expires. The first share of a daemon is
- * at most an equal one, so that the first daemon to report does not take the whole limit when load
- * starts at several daemons at once. Used by the leader only. Not thread-safe.
+ * Divides each organisation's limits between entry instances: each gets what it needs for its
+ * demand, and an equal part of what nobody needs, so that a daemon whose callers return after a
+ * pause can admit them at once. If the demands exceed the limits, they are scaled down. The shares
+ * in force never exceed the whole limit: an allocation only uses what no other daemon holds, and
+ * the share of an unresponsive daemon stays reserved until it expires. The first share of a daemon
+ * is at most an equal one, so that the first daemon to report does not take the whole limit when
+ * load starts at several daemons at once. Used by the leader only. Not thread-safe.
  */
 public final class LimitShareAllocator {
 
@@ -27,8 +30,6 @@
   /** Time after which a share expires; a daemon without an answer for so long uses an equal one. */
   public static final Duration VALIDITY = Duration.ofSeconds(3);
 
-  private static final double MIN_DEMAND_REQUESTS_PER_SECOND = 0.01;
-
   private final Map<String, Map<String, Grant>> grants = new HashMap<>();
 
   private LimitShareAllocator() {}
@@ -50,37 +51,28 @@
       Map<String, Grant> grantsByDaemon =
           grants.computeIfAbsent(demand.organisation(), name -> new HashMap<>());
       grantsByDaemon.values().removeIf(grant -> !now.isBefore(grant.grantedAt().plus(VALIDITY)));
-      boolean isFirst = !grantsByDaemon.containsKey(daemon);
-      double maxFraction =
-          isFirst ? (1 - EQUAL_SPLIT_FRACTION) / Math.max(1, instances) : 1 - EQUAL_SPLIT_FRACTION;
+      boolean isFirst = grantsByDaemon.remove(daemon) == null;
       double fraction =
-          Math.min(
-              maxFraction,
-              proportionalFraction(daemon, demand.requestsPerSecond(), grantsByDaemon));
-      grantsByDaemon.put(
-          daemon,
-          new Grant(
-              fraction, Math.max(MIN_DEMAND_REQUESTS_PER_SECOND, demand.requestsPerSecond()), now));
-      shares.add(
-          OrganisationShare.of(
-              demand.organisation(), fraction + EQUAL_SPLIT_FRACTION / Math.max(1, instances)));
+          fraction(
+              demand.limitFraction(), isFirst, grantsByDaemon.values(), Math.max(1, instances));
+      grantsByDaemon.put(daemon, new Grant(fraction, demand.limitFraction(), now));
+      shares.add(OrganisationShare.of(demand.organisation(), fraction));
     }
     return shares;
   }
 
-  private static double proportionalFraction(
-      String daemon, double demand, Map<String, Grant> grantsByDaemon) {
-    double otherDemand = 0;
-    double otherFraction = 0;
-    for (Map.Entry<String, Grant> grant : grantsByDaemon.entrySet()) {
-      if (!grant.getKey().equals(daemon)) {
-        otherDemand += grant.getValue().demand();
-        otherFraction += grant.getValue().fraction();
-      }
-    }
-    double ownDemand = Math.max(MIN_DEMAND_REQUESTS_PER_SECOND, demand);
-    double fairFraction = (1 - EQUAL_SPLIT_FRACTION) * ownDemand / (ownDemand + otherDemand);
-    return Math.max(0, Math.min(fairFraction, 1 - EQUAL_SPLIT_FRACTION - otherFraction));
+  private static double fraction(
+      double demand, boolean isFirst, Collection<Grant> others, int instances) {
+    double minFraction = EQUAL_SPLIT_FRACTION / instances;
+    double allDemands = demand + others.stream().mapToDouble(Grant::demand).sum();
+    double scale = Math.min(1, (1 - EQUAL_SPLIT_FRACTION) / allDemands);
+    double needed = demand * scale + (1 - allDemands * scale) / instances;
+    double wanted = isFirst ? Math.min(needed, 1.0 / instances) : needed;
+
+    int withoutGrant = Math.max(0, instances - 1 - others.size());
+    double heldByOthers = others.stream().mapToDouble(Grant::fraction).sum();
+    double available = 1 - heldByOthers - withoutGrant * minFraction;
+    return Math.max(minFraction, Math.min(wanted, available));
   }
 
   /** Removes expired shares and the organisations without any. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/OrganisationLimiter.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/OrganisationLimiter.java
@@ -79,9 +79,9 @@
     List<OrganisationDemand> demands = new ArrayList<>();
     usages.forEach(
         (name, usage) -> {
-          usage.requestsPerSecond = (usage.requestsPerSecond + usage.offeredRequests / seconds) / 2;
-          usage.offeredRequests = 0;
-          demands.add(OrganisationDemand.of(name, usage.requestsPerSecond));
+          usage.measure(seconds);
+          demands.add(
+              OrganisationDemand.of(name, usage.requestsPerSecond, usage.demandedFraction()));
         });
     return demands;
   }
@@ -96,6 +96,7 @@
     OrganisationLimits limits = organisation.limits().orElse(DEFAULT_LIMITS);
     Usage usage = usages.computeIfAbsent(organisation.name(), name -> new Usage());
     usage.offeredRequests++;
+    usage.offeredTokens += tokens;
     usage.lastRequestAt = now;
     usage.applyLimits(limits, effectiveFraction(usage, now), now);
     if (usage.inFlight >= usage.concurrency) {
@@ -134,6 +135,7 @@
 
   private static final class Usage {
 
+    private OrganisationLimits limits = DEFAULT_LIMITS;
     private TokenBucket requests;
     private TokenBucket tokens;
     private int concurrency;
@@ -143,10 +145,30 @@
     private boolean hasAssignedFraction;
     private int inFlight;
     private long offeredRequests;
+    private long offeredTokens;
     private double requestsPerSecond;
+    private double tokensPerSecond;
     private Instant lastRequestAt = Instant.MIN;
 
-    void applyLimits(OrganisationLimits limits, double fraction, Instant now) {
+    /** Adds what was offered over the last interval to the smoothed demand. */
+    void measure(double seconds) {
+      requestsPerSecond = (requestsPerSecond + offeredRequests / seconds) / 2;
+      tokensPerSecond = (tokensPerSecond + offeredTokens / seconds) / 2;
+      offeredRequests = 0;
+      offeredTokens = 0;
+    }
+
+    /** Returns the part of the limits that would do for the demand. */
+    double demandedFraction() {
+      double ofRates =
+          Math.max(
+              requestsPerSecond / limits.requestsPerSecond(),
+              tokensPerSecond / limits.tokensPerSecond());
+      return Math.max(ofRates, (double) inFlight / limits.concurrency());
+    }
+
+    void applyLimits(OrganisationLimits newLimits, double fraction, Instant now) {
+      limits = newLimits;
       double boundedFraction = Math.max(fraction, 1e-6);
       double newRequestRate = limits.requestsPerSecond() * boundedFraction;
       double newTokenRate = limits.tokensPerSecond() * boundedFraction;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitShareAllocatorTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitShareAllocatorTest.java
@@ -45,16 +45,28 @@
 
   @Test
   void should_reserve_the_share_of_an_unresponsive_daemon_until_it_expires() {
-    share("daemon-0", 100, START.minusMillis(500));
-    share("daemon-0", 100, START);
+    share("daemon-0", 5 * LIMIT, START.minusMillis(500));
+    share("daemon-0", 5 * LIMIT, START);
 
-    double before = share("daemon-1", 100, START.plusSeconds(2));
-    double after = share("daemon-1", 100, START.plusSeconds(4));
+    double before = share("daemon-1", 5 * LIMIT, START.plusSeconds(2));
+    double after = share("daemon-1", 5 * LIMIT, START.plusSeconds(4));
 
     assertTrue(before > 0 && before < 0.1, "share " + before);
     assertTrue(after > 0.9, "share " + after);
   }
 
+  @Test
+  void should_reserve_an_equal_part_of_what_nobody_needs_for_a_daemon_without_demand() {
+    share("daemon-0", LIMIT / 5, START.minusMillis(1000));
+    share("daemon-1", 0, START.minusMillis(900));
+    double busy = share("daemon-0", LIMIT / 5, START.minusMillis(500));
+
+    double idle = share("daemon-1", 0, START);
+
+    assertEquals(0.2 + 0.8 / 4, busy, 1e-9);
+    assertEquals(0.8 / 4, idle, 1e-9);
+  }
+
   @Test
   void should_allocate_equal_shares_when_load_starts_at_several_daemons_at_once() {
     double first = share("daemon-0", 100, START);
@@ -97,7 +109,7 @@
 
   private double share(String daemon, double demand, Instant now) {
     return shares
-        .allocate(daemon, List.of(OrganisationDemand.of("one", demand)), 4, now)
+        .allocate(daemon, List.of(OrganisationDemand.of("one", demand, demand / LIMIT)), 4, now)
         .get(0)
         .fraction();
   }
