--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/WavePlannerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/WavePlannerTest.java
@@ -75,6 +75,25 @@
     assertEquals(5, next.size());
   }
 
+  // Guards against the last engines of a change of leader that wait for waves long overdue.
+  @Test
+  void should_start_overdue_engines_as_soon_as_less_than_a_wave_is_swapping() {
+    List<EngineProgress> engines = waiting(13);
+    planner.recordNamed(2, NOW);
+    Instant late = NOW.plusSeconds(30);
+    List<String> first = planner.nextEngines(engines, 2, late);
+    first.forEach(id -> planner.recordStart(late));
+
+    List<String> whileSwapping =
+        planner.nextEngines(swapping(engines, first), 2, late.plusMillis(600));
+    List<String> next =
+        planner.nextEngines(swapping(engines, first.subList(0, 2)), 2, late.plusMillis(600));
+
+    assertEquals(5, first.size());
+    assertEquals(List.of(), whileSwapping);
+    assertEquals(3, next.size());
+  }
+
   @Test
   void should_start_at_most_a_wave_within_an_interval_when_newer_weights_are_named() {
     List<EngineProgress> engines = waiting(13);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -105,6 +105,7 @@
   void runRound(Instant now) {
     try {
       logRest(now);
+      recordNamed(now);
       leadership(now).ifPresent(leading -> startSwaps(leading, now));
     } catch (RuntimeException e) {
       log.warn(Event.of("weights-round-failed").with("cause", e));
@@ -136,6 +137,16 @@
     return leading.isFirst() ? leading.since() : leading.since().plus(REST_OF_NEW_LEADER);
   }
 
+  private void recordNamed(Instant now) {
+    for (NamedWeights named : holder.current().namedWeights()) {
+      planner(named.model()).recordNamed(named.version(), now);
+    }
+  }
+
+  private WavePlanner planner(String model) {
+    return planners.computeIfAbsent(model, name -> WavePlanner.create());
+  }
+
   private void startSwaps(Leadership leading, Instant now) {
     FleetSnapshot view = holder.current();
     for (NamedWeights named : view.namedWeights()) {
@@ -146,7 +157,7 @@
               .ifPresent(version -> engines.add(progress(record, named.model(), version)));
         }
       }
-      WavePlanner planner = planners.computeIfAbsent(named.model(), model -> WavePlanner.create());
+      WavePlanner planner = planner(named.model());
       List<String> next = planner.nextEngines(engines, named.version(), now);
       if (!next.isEmpty()) {
         logWave(named, leading, now, engines, next.size());
