Count an instance again that started with its clock behind

Cause: a daemon's start is its wall clock, and the leader took every heartbeat with a lower one for a late one of the process before, also when that had long been silent. Evidence: LeaderDutiesTest was red, 0 live instances after 6 s of heartbeats, expected 1. Change: a lower start counts once the lease of the process before has ended and the daemon holds no claims, so that those of the process before have been put in doubt by its own start. Claims of the new process from before that are put in doubt as well, as before this change.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -82,7 +82,7 @@
 
   /** Renews the leases that a heartbeat covers and returns commands for changed announcements. */
   List<Command> receiveHeartbeat(HeartbeatCall call, ControlState state, Instant now) {
-    if (!isOlderIncarnation(call.daemon())) {
+    if (!isOlderIncarnation(call.daemon(), state, now)) {
       daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
       reportedLoad.replace(call.daemon().name(), call.targetWork());
     }
@@ -136,9 +136,17 @@
     return limitShares.allocate(call.daemon().name(), call.demands(), liveEntryInstances(now), now);
   }
 
-  private boolean isOlderIncarnation(DaemonStatus status) {
+  /**
+   * Returns whether a heartbeat is a late one of the process before. A lower incarnation is a
+   * restart by a clock that was set back once the lease of the process before has ended and its
+   * claims have been put in doubt, which needs its incarnation.
+   */
+  private boolean isOlderIncarnation(DaemonStatus status, ControlState state, Instant now) {
     DaemonLease current = daemonLeases.get(status.name());
-    return current != null && current.status().incarnation() > status.incarnation();
+    if (current == null || current.status().incarnation() <= status.incarnation()) {
+      return false;
+    }
+    return isLive(current, now) || state.claimOwners().containsKey(status.name());
   }
 
   private void renewTargetLease(String id, long incarnation, long sequence, Instant now) {
