Give an order again sooner when no answer comes

An engine whose orders get lost is excluded by the entries 4.5 s after newer weights were named. Each lost order was waited for 0.8 s, so that with five of them lost in a row the sixth came too late. An order carries the number of orders that the engine must have taken, so that one given twice is refused once: an answer is now awaited for 0.4 s. Reports are awaited as before.

OrdersWithoutAnAnswerTest: the order that arrives came 5.49 s after the acknowledgement on the code of before (bound 4.5 s), within it now.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/HttpEngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/HttpEngineOrders.java
@@ -13,7 +13,11 @@
 /** Calls engines over HTTP and waits for their answers. */
 final class HttpEngineOrders implements EngineOrders {
 
-  private static final Duration TIMEOUT = Duration.ofMillis(800);
+  private static final Duration REPORT_TIMEOUT = Duration.ofMillis(800);
+
+  /** Shorter, since an order may be given again: the engine refuses it if it took the first. */
+  private static final Duration ORDER_TIMEOUT = Duration.ofMillis(400);
+
   private static final int OK = 200;
 
   private final OrderProtocol protocol;
@@ -28,7 +32,7 @@
   public OrderProtocol.EngineReport report(Announcement engine)
       throws IOException, InterruptedException {
     BufferingHttpClient.Response reply =
-        call(engine, protocol.report(AnnouncedAddress.hostAndPort(engine)));
+        call(engine, protocol.report(AnnouncedAddress.hostAndPort(engine)), REPORT_TIMEOUT);
     if (reply.status() != OK) {
       throw new IOException("the report has status " + reply.status());
     }
@@ -40,16 +44,18 @@
   @Override
   public int order(Announcement engine, OrderProtocol.WeightsOrder order)
       throws IOException, InterruptedException {
-    return call(engine, protocol.order(AnnouncedAddress.hostAndPort(engine), order)).status();
+    return call(engine, protocol.order(AnnouncedAddress.hostAndPort(engine), order), ORDER_TIMEOUT)
+        .status();
   }
 
-  private BufferingHttpClient.Response call(Announcement engine, FullHttpRequest request)
+  private BufferingHttpClient.Response call(
+      Announcement engine, FullHttpRequest request, Duration timeout)
       throws IOException, InterruptedException {
     InetSocketAddress address =
         NumericAddress.parse(AnnouncedAddress.hostAndPort(engine))
             .orElseThrow(() -> new IOException("the address cannot be used"));
     try {
-      return calls.send(address, request, TIMEOUT).get();
+      return calls.send(address, request, timeout).get();
     } catch (ExecutionException e) {
       throw new IOException(e.getCause().getMessage(), e.getCause());
     }
