Take no answer to an earlier call for that to a report, order or poll

What callers saw: nothing is recorded.

Evidence: AnswerToAnEarlierCallTest, red on the code of before in 7 of 7 cases: each of the statuses 200, 202, 409, 412, 421 and 503 was given to the next call, and a poll of a store went back to an earlier position.

Change: each report and order has a connection of its own. Polls of stores, which are many, keep theirs, and tell by what an answer says: one that ends before the position asked for, or at it with changes, is that to an earlier poll. It fails, its connection is closed, and the poll is repeated.

Measured: 7 of 7 pass.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -59,36 +59,87 @@
   public record Response(int status, ByteBuf body) {}
 
   /**
-   * Sends a request and takes ownership of it. The future completes on the event loop, with an
-   * exception if the connection fails, the response is too large, the timeout expires or an earlier
-   * response asked for a pause that has not ended. The timeout starts when a connection has been
-   * acquired.
+   * Decides whether a response is the answer to a request, and reads it.
+   *
+   * @param <T> type of its contents
+   */
+  public interface ResponseReader<T> {
+
+    /**
+     * Reads a response.
+     *
+     * @throws IOException if it may be the answer to an earlier request, or cannot be read
+     */
+    T read(Response response) throws IOException;
+  }
+
+  /**
+   * Sends a request over a connection of its own and takes ownership of it. The future completes on
+   * the event loop, with an exception if the connection fails, the response is too large, the
+   * timeout expires or an earlier response asked for a pause that has not ended. The timeout starts
+   * when a connection has been acquired.
    */
   public CompletableFuture<Response> send(
       InetSocketAddress address, FullHttpRequest request, Duration timeout) {
-    CompletableFuture<Response> response = new CompletableFuture<>();
-    loop.execute(() -> acquireAndSend(address, request, timeout, response));
-    return response;
+    Call<Response> call = new Call<>(address, request, timeout, response -> response, false);
+    loop.execute(() -> acquireAndSend(call));
+    return call.result();
+  }
+
+  /**
+   * Sends a request like {@link #send}, over a connection that may have carried earlier ones. No id
+   * tells the responses apart, so the reader has to tell by its contents whether a response is the
+   * answer. The connection is kept only if it is.
+   */
+  public <T> CompletableFuture<T> sendReusing(
+      InetSocketAddress address,
+      FullHttpRequest request,
+      Duration timeout,
+      ResponseReader<T> reader) {
+    Call<T> call = new Call<>(address, request, timeout, reader, true);
+    loop.execute(() -> acquireAndSend(call));
+    return call.result();
   }
 
-  private void acquireAndSend(
+  /** A request and the future of its response. */
+  private record Call<T>(
       InetSocketAddress address,
       FullHttpRequest request,
       Duration timeout,
-      CompletableFuture<Response> response) {
-    if (isPaused(address)) {
-      request.release();
-      response.completeExceptionally(new IOException("the server wants no requests yet"));
-      return;
+      ResponseReader<T> reader,
+      boolean isReusing,
+      CompletableFuture<T> result) {
+
+    Call(
+        InetSocketAddress address,
+        FullHttpRequest request,
+        Duration timeout,
+        ResponseReader<T> reader,
+        boolean isReusing) {
+      this(address, request, timeout, reader, isReusing, new CompletableFuture<>());
+    }
+  }
+
+  private <T> void acquireAndSend(Call<T> call) {
+    if (isPaused(call.address())) {
+      callFailed(call, new IOException("the server wants no requests yet"));
+    } else if (call.isReusing()) {
+      pool.acquire(
+          call.address(),
+          NO_ID,
+          connection -> sendOver(connection, call),
+          cause -> callFailed(call, cause));
+    } else {
+      pool.open(
+          call.address(),
+          connection -> sendOver(connection, call),
+          cause -> callFailed(call, cause));
     }
-    pool.acquire(
-        address,
-        NO_ID,
-        connection -> sendOver(address, connection, request, timeout, response),
-        cause -> {
-          request.release();
-          response.completeExceptionally(cause);
-        });
+  }
+
+  private static void callFailed(Call<?> unsent, Throwable cause) {
+    unsent.request().release();
+    unsent.result().completeExceptionally(cause);
   }
 
   private boolean isPaused(InetSocketAddress address) {
@@ -101,40 +152,31 @@
     pausedUntil.put(address, now.plus(pause));
   }
 
-  private void sendOver(
-      InetSocketAddress address,
-      TargetConnection connection,
-      FullHttpRequest request,
-      Duration timeout,
-      CompletableFuture<Response> response) {
-    ResponseCollector collector = new ResponseCollector(address, connection, response);
-    connection.send(request, NO_ID, collector);
-    var unused = loop.schedule(collector::timedOut, timeout.toMillis(), TimeUnit.MILLISECONDS);
+  private <T> void sendOver(TargetConnection connection, Call<T> call) {
+    ResponseCollector<T> collector = new ResponseCollector<>(connection, call);
+    connection.send(call.request(), NO_ID, collector);
+    var unused =
+        loop.schedule(collector::timedOut, call.timeout().toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private final class ResponseCollector implements TargetConnection.ResponseListener {
+  private final class ResponseCollector<T> implements TargetConnection.ResponseListener {
 
-    private final InetSocketAddress address;
     private final TargetConnection connection;
-    private final CompletableFuture<Response> response;
+    private final Call<T> call;
 
     /** Copied, since a response may come in as many pieces as it has bytes. */
     private final ByteBuf body = Unpooled.buffer(0);
 
     private int status;
 
-    ResponseCollector(
-        InetSocketAddress address,
-        TargetConnection connection,
-        CompletableFuture<Response> response) {
-      this.address = address;
+    ResponseCollector(TargetConnection connection, Call<T> call) {
       this.connection = connection;
-      this.response = response;
+      this.call = call;
     }
 
     @Override
     public void onNotice(TargetNotice notice) {
-      notice.pause().ifPresent(pause -> recordPause(address, pause));
+      notice.pause().ifPresent(pause -> recordPause(call.address(), pause));
     }
 
     @Override
@@ -147,26 +189,36 @@
       if (body.readableBytes() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
         connection.cancel();
         onFailure("the answer exceeds " + MAX_RESPONSE_BYTES + " bytes");
-      } else if (!response.isDone()) {
+      } else if (!call.result().isDone()) {
         body.writeBytes(bytes);
       }
     }
 
     @Override
     public void onComplete() {
-      pool.release(address, connection);
-      response.complete(new Response(status, body));
+      try {
+        T contents = call.reader().read(new Response(status, body));
+        if (call.isReusing()) {
+          pool.release(call.address(), connection);
+        } else {
+          connection.close();
+        }
+        call.result().complete(contents);
+      } catch (IOException e) {
+        connection.close();
+        call.result().completeExceptionally(e);
+      }
     }
 
     @Override
     public void onFailure(String cause) {
-      response.completeExceptionally(new IOException(cause));
+      call.result().completeExceptionally(new IOException(cause));
     }
 
     private void timedOut() {
-      if (!response.isDone()) {
+      if (!call.result().isDone()) {
         connection.cancel();
-        response.completeExceptionally(new TimeoutException("no answer in time"));
+        call.result().completeExceptionally(new TimeoutException("no answer in time"));
       }
     }
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/StoreEventPoller.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -70,15 +71,19 @@
     }
     var unused =
         client
-            .send(address, protocol.changesRequest(store.address(), position), POLL_TIMEOUT)
+            .sendReusing(
+                address,
+                protocol.changesRequest(store.address(), position),
+                POLL_TIMEOUT,
+                this::readAnswer)
             .handle(
-                (response, error) -> {
-                  boolean isApplied =
-                      error == null && response.status() == HTTP_OK && applyResponse(response);
-                  if (!isApplied) {
-                    pollFailed(error == null ? "status " + response.status() : error.getMessage());
+                (changes, error) -> {
+                  if (error == null) {
+                    apply(changes);
+                  } else {
+                    pollFailed(error.getMessage());
                   }
-                  schedulePoll(isApplied ? POLL_INTERVAL_MILLIS : RETRY_INTERVAL_MILLIS);
+                  schedulePoll(error == null ? POLL_INTERVAL_MILLIS : RETRY_INTERVAL_MILLIS);
                   return null;
                 });
   }
@@ -87,10 +92,28 @@
     var unused = loop.schedule(this::poll, millis, TimeUnit.MILLISECONDS);
   }
 
-  private boolean applyResponse(BufferingHttpClient.Response response) {
-    Optional<CacheProtocol.Changes> changes = protocol.readChanges(response.body());
-    changes.ifPresent(this::apply);
-    return changes.isPresent();
+  private CacheProtocol.Changes readAnswer(BufferingHttpClient.Response response)
+      throws IOException {
+    if (response.status() != HTTP_OK) {
+      throw new IOException("status " + response.status());
+    }
+    CacheProtocol.Changes changes =
+        protocol
+            .readChanges(response.body())
+            .orElseThrow(() -> new IOException("the changes cannot be read"));
+    if (incarnation.filter(known -> isRepeated(changes, known, position)).isPresent()) {
+      throw new IOException("the response is that to an earlier poll");
+    }
+    return changes;
+  }
+
+  /** Returns whether a batch ends at or before the position that was asked for, and has changes. */
+  private static boolean isRepeated(
+      CacheProtocol.Changes changes, long incarnation, long position) {
+    boolean isBehind =
+        changes.nextPosition() < position
+            || (changes.nextPosition() == position && !changes.changes().isEmpty());
+    return changes.incarnation() == incarnation && isBehind;
   }
 
   private void apply(CacheProtocol.Changes changes) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -70,7 +70,7 @@
     if (reusable.isPresent()) {
       opened.accept(reusable.get());
     } else {
-      connect(address, opened, failed);
+      open(address, opened, failed);
     }
   }
 
@@ -113,7 +113,7 @@
    * @param done receives the cause if the connection failed
    */
   void probe(InetSocketAddress address, Consumer<Optional<Throwable>> done) {
-    connect(
+    open(
         address,
         connection -> {
           connection.close();
@@ -122,7 +122,8 @@
         cause -> done.accept(Optional.of(cause)));
   }
 
-  private void connect(
+  /** Opens a new connection. On failure nothing has been sent. */
+  void open(
       InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
     ChannelFuture connecting = bootstrap().connect(address);
     connecting.addListener(
