End a call to the control instances when its thread is interrupted

What callers saw: nothing. A thread that was stopped within a call that no control instance answers (heartbeats, the confirmation of the view, the joiner of a stopped instance) went on, and without any pause, until the deadline of the call: the pause between attempts returns at once while the thread is interrupted, and an attempt over a closed link fails at once.

Change: the pause is an interruptible sleep; a call that is interrupted ends as one whose outcome is not known, as it did already when the interrupt came within an attempt.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlClient.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.locks.LockSupport;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.error.ErrorKind;
 import org.geraniumwharf.error.ServingErrors;
@@ -57,8 +56,8 @@
   /**
    * Calls the leader and blocks until it answers.
    *
-   * @throws ServingException if there is no answer by the deadline; whether the call was carried
-   *     out is then not known
+   * @throws ServingException if there is no answer by the deadline, or the thread is interrupted;
+   *     whether the call was carried out is then not known
    */
   public <T extends ControlAnswer> T call(PeerMessage call, Class<T> type, Instant deadline)
       throws ServingException {
@@ -75,14 +74,26 @@
         lastCause = "control instance " + asked + " did not answer";
         leader = after(asked);
       } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw ServingErrors.controlOutcomeUnknown("the call was interrupted");
+        throw interrupted();
       }
-      LockSupport.parkNanos(PAUSE.toNanos());
+      pause();
     }
     throw ServingErrors.controlOutcomeUnknown(lastCause);
   }
 
+  private static void pause() throws ServingException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(PAUSE.toMillis());
+    } catch (InterruptedException e) {
+      throw interrupted();
+    }
+  }
+
+  private static ServingException interrupted() {
+    Thread.currentThread().interrupt();
+    return ServingErrors.controlOutcomeUnknown("the call was interrupted");
+  }
+
   private ControlAnswer attempt(String name, PeerMessage call, Instant deadline)
       throws ExecutionException, TimeoutException, InterruptedException {
     Duration left = Duration.between(clock.instant(), deadline);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ControlClientTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ControlClientTest.java
@@ -2,6 +2,7 @@
 
 import static java.util.concurrent.TimeUnit.SECONDS;
 import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -10,9 +11,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.geraniumwharf.error.ErrorKind;
 import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
 import org.geraniumwharf.internal.transport.PeerLinks;
 import org.geraniumwharf.internal.transport.PeerNetwork;
@@ -31,6 +35,7 @@
   /** {@code contact_ms} of the users' sheet. */
   private static final Duration CONTACT = Duration.ofSeconds(3);
 
+  private static final Duration LONG_CALL = Duration.ofSeconds(60);
   private static final int INSTANCES = 5;
 
   private final ClusterKey key = ClusterKey.of("a key for tests only");
@@ -75,6 +80,28 @@
     assertTrue(Duration.between(silentAt, clock.instant()).compareTo(CONTACT) < 0);
   }
 
+  /** Guards against a stopped thread that goes on calling, without a pause, until its deadline. */
+  @Test
+  void should_give_a_call_up_when_its_thread_is_interrupted() throws Exception {
+    instances.forEach(StandInControl::close);
+    CompletableFuture<ErrorKind> outcome = new CompletableFuture<>();
+    Thread caller = DaemonThreads.start(() -> outcome.complete(outcomeOfCall(LONG_CALL)), "caller");
+    await().atMost(20, SECONDS).until(() -> caller.getState() == Thread.State.TIMED_WAITING);
+
+    caller.interrupt();
+
+    assertEquals(ErrorKind.CONTROL_UNAVAILABLE, outcome.get(5, SECONDS));
+  }
+
+  private ErrorKind outcomeOfCall(Duration timeout) {
+    try {
+      client.call(ReadIndexCall.of("entry"), ReadIndexAnswer.class, clock.instant().plus(timeout));
+      throw new AssertionError("the call was answered");
+    } catch (ServingException e) {
+      return e.kind();
+    }
+  }
+
   /** Opens the links to the first instances, of which the client asks the first one first. */
   private void connectToAll() {
     for (StandInControl instance : instances) {
