--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -54,7 +55,7 @@
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /** One process of a relaying fleet: starts its parts in order and shuts them down gracefully. */
-public final class NodeRuntime {
+public final class NodeRuntime implements AutoCloseable {
 
   private static final int EVENT_LOOPS = 1;
   private static final int MAX_WORKERS = 64;
@@ -93,6 +94,7 @@
   private final LoggedQuarantine quarantine;
   private final KnownStores stores;
   private final FleetMembership membership;
+  private final List<Thread> controlThreads = new ArrayList<>();
   private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private Optional<ControlInstance> instance = Optional.empty();
   private Optional<Relay> relay = Optional.empty();
@@ -222,11 +224,12 @@
     var unusedFailure = started.failure().thenAccept(failure::complete);
     peers.control(started);
     membership.local(started);
-    DaemonThreads.start(
-        new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner");
+    controlThreads.add(
+        DaemonThreads.start(
+            new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner"));
     ControlService service =
         new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
-    DaemonThreads.start(weightsRollout(started, service), "weights-rollout");
+    controlThreads.add(DaemonThreads.start(weightsRollout(started, service), "weights-rollout"));
     metrics.gauge("engines_behind", () -> WeightsRollout.enginesBehind(holder.current()));
     readStores(started);
     startApi(settings.control().orElseThrow(), edges.control(service, workers));
@@ -328,6 +331,21 @@
     log.info(Event.of("shutdown-finished").with("cut", cut));
   }
 
+  /**
+   * Ends everything at once, as the end of the process does; for a process that goes on without
+   * this node.
+   */
+  @Override
+  public void close() {
+    membership.stop();
+    controlThreads.forEach(Thread::interrupt);
+    instance.ifPresent(NodeRuntime::stopControl);
+    links.close();
+    network.close();
+    workers.shutdownNow();
+    var unused = loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
   private int drain(Relay running, Instant begun) {
     return RelayDrain.drain(running, membership.readiness(), settings.grace(), begun, clock);
   }
