Probe a target after half a second when there is none but ejected ones

Cause: each failure from the sixth in a row on ejects a target for 4 s, and only one request, the first one after that, can end it. A target that fails a few requests more therefore costs 4 s for each of them; where there is no other target everything is refused meanwhile, though nothing better is known than to ask again. The queue's expected wait isn't the cause: it only decides whether a request waits up to 1.5 s before it is refused.

Change: while every target that accepts requests is ejected, one without a request of this instance may be tried half a second after its last failure, one request at a time. A target that refuses as not run keeps its backoff; beside a healthy target, also a full one, ejected targets get nothing, as before.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -52,6 +52,7 @@
    *     the local load is counted
    * @param cachedTokens tokens of the prompt that the target probably has cached
    * @param isEjected whether the target gets no requests because of recent failures or rejections
+   * @param mayBeProbed whether the target, if it is ejected, may get one request nevertheless
    * @param isAccepting whether the target has not announced in its responses that it is leaving or
    *     wants no requests
    */
@@ -62,6 +63,7 @@
       boolean hasRemoteReport,
       int cachedTokens,
       boolean isEjected,
+      boolean mayBeProbed,
       boolean isAccepting) {}
 
   /** Returns the load of a target for one request. */
@@ -80,6 +82,7 @@
         hasRemoteReport,
         cachedTokens,
         entry.health.isEjected(now),
+        entry.inFlight == 0 && entry.health.mayBeProbed(now),
         availability.isAccepting(target, entry.inFlight, now));
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -86,7 +86,9 @@
       RelayLoadTable.Load load) {}
 
   /**
-   * Returns the cheapest target that accepts requests, has free capacity and is not ejected.
+   * Returns the cheapest target that accepts requests, has free capacity and is not ejected. If all
+   * targets that accept requests are ejected, one that may be probed is returned, since nothing
+   * else would tell before the end of its ejection that it has recovered.
    *
    * @param storedTokens tokens at the start of the prompt that cache stores hold
    * @param rates rates of the engines; unused for a request that is no generation
@@ -106,12 +108,28 @@
     List<Choice> open =
         openChoices(
                 resolved, targets, preferred, table, storedTokens, rates, excluded, instances, now)
-            .filter(choice -> !choice.load().isEjected())
             .toList();
-    return comparedChoices(resolved, open, preferred, instances)
+    List<Choice> healthy = open.stream().filter(choice -> !choice.load().isEjected()).toList();
+    boolean isProbe = healthy.isEmpty() && areAllEjected(resolved, targets, table, excluded, now);
+    List<Choice> usable =
+        isProbe ? open.stream().filter(choice -> choice.load().mayBeProbed()).toList() : healthy;
+    return comparedChoices(resolved, usable, preferred, instances)
         .min(Comparator.comparingDouble(Choice::costMillis));
   }
 
+  private static boolean areAllEjected(
+      ResolvedRequest resolved,
+      List<RelayTarget> targets,
+      RelayLoadTable table,
+      Set<String> excluded,
+      Instant now) {
+    return targets.stream()
+        .filter(target -> !excluded.contains(target.id()))
+        .map(target -> table.load(target, resolved, now))
+        .filter(RelayLoadTable.Load::isAccepting)
+        .allMatch(RelayLoadTable.Load::isEjected);
+  }
+
   /**
    * Returns the cheapest target that accepts requests and has free capacity, including ejected
    * ones. Meant for a request whose response has started: it can neither be queued nor rejected and
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
@@ -5,7 +5,8 @@
 
 /**
  * Counts the consecutive failures and rejections of one target and ejects it for a time that
- * doubles with each further one. Not safe for use by several threads.
+ * doubles with each further one. While it is ejected for failures it may be probed with a request
+ * after the shortest of these times. Not safe for use by several threads.
  */
 final class TargetHealth {
 
@@ -22,6 +23,7 @@
   private int consecutiveFailures;
   private int consecutiveRejections;
   private Instant ejectedUntil = Instant.MIN;
+  private Instant probeFrom = Instant.MIN;
 
   void recordSuccess() {
     consecutiveFailures = 0;
@@ -38,6 +40,7 @@
     Duration pause =
         BASE_BACKOFF.multipliedBy(1L << Math.min(consecutiveRejections - 1, MAX_DOUBLINGS));
     ejectedUntil = now.plus(pause);
+    probeFrom = ejectedUntil;
   }
 
   /** Records a request that failed at the target. */
@@ -57,9 +60,15 @@
   private void eject(int doublings, Instant now) {
     Duration pause = BASE_EJECTION_TIME.multipliedBy(1L << Math.min(doublings, MAX_DOUBLINGS));
     ejectedUntil = now.plus(pause.compareTo(MAX_EJECTION_TIME) < 0 ? pause : MAX_EJECTION_TIME);
+    probeFrom = now.plus(BASE_EJECTION_TIME);
   }
 
   boolean isEjected(Instant now) {
     return now.isBefore(ejectedUntil);
   }
+
+  /** Returns whether the target may be probed although it is ejected. */
+  boolean mayBeProbed(Instant now) {
+    return !now.isBefore(probeFrom);
+  }
 }
