Read a target's response in one part a pass, so that other requests come between

Cause: an entry has one event loop, and in each pass it read up to 16 parts of 64 KB from every connection to a target. While the first of the 51 requests get answers of 2 to 5 MB, each step of the others (accept, read, connect, send) waits for a pass over all of these.

Change: one read of a target's connection in a pass. The callers' connections, whose requests are short, stay as they are.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -33,6 +34,12 @@
 
   private static final int KEEP_ALIVE_PROBES = 2;
 
+  /**
+   * Reads of one connection in a pass of the event loop. Those of a long response would otherwise
+   * hold up the requests of other callers.
+   */
+  private static final int READS_PER_PASS = 1;
+
   private final EventLoop loop;
   private final RelayProtocol protocol;
   private final UnexpectedBytesListener unexpectedBytes;
@@ -111,6 +118,9 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(
+            ChannelOption.RCVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(READS_PER_PASS))
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_PROBE_SECONDS)
         .option(
             NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_PROBE_SECONDS)
