--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/LongResponseHoldsUpOthersTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/LongResponseHoldsUpOthersTest.java
@@ -87,11 +87,15 @@
   void should_read_a_long_response_in_small_parts_so_that_other_work_comes_between() {
     TargetConnectionPool pool =
         new TargetConnectionPool(
-            loop, new PlainProtocol(), UnexpectedBytesListener.none(), InstantSource.system());
+            loop,
+            new PlainProtocol(),
+            UnexpectedBytesListener.none(),
+            ConnectionReuseListener.none(),
+            InstantSource.system());
     InetSocketAddress address =
         new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
 
-    loop.execute(() -> pool.acquire(address, this::send, ended::completeExceptionally));
+    loop.execute(() -> pool.open(address, this::send, ended::completeExceptionally));
     loop.execute(this::countPass);
     ended.orTimeout(30, SECONDS).join();
 
