Read the limit that a target states, and log each change of it

Cause: the header is read nowhere, and no line tells when an entry first met it, so the hypotheses of docs/incidents/0016 can't be told apart from the logs. TargetNotice.isEmpty is now isOpen, since a notice that says nothing of leaving or a pause may still name a limit; its tests are the same but for the name. No decision changes.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -10,12 +10,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
  * Load that this instance has in flight at each target, load that other instances reported, and the
- * health and availability of each target. Safe for use by several threads; no other lock is taken
- * while its lock is held.
+ * health and availability of each target. Safe for use by several threads; no other lock than that
+ * of the permits is taken while its lock is held.
  */
 public final class RelayLoadTable {
 
@@ -27,6 +28,7 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, TargetWork> remoteLoad = new HashMap<>();
   private final TargetAvailability availability;
+  private final TargetPermits permits = TargetPermits.create();
   private Instant remoteLoadExpiresAt = Instant.MIN;
 
   private RelayLoadTable(TargetAvailability availability) {
@@ -64,6 +66,11 @@
       boolean isEjected,
       boolean isAccepting) {}
 
+  /** Returns what this instance knows of the limits of targets. */
+  public TargetPermits permits() {
+    return permits;
+  }
+
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
     Entry entry = entry(target.id());
@@ -184,6 +191,7 @@
   /** Removes targets that are not in the given set, except those with requests in flight. */
   public synchronized void retainTargets(Set<String> targets, Instant now) {
     availability.retainTargets(targets, now);
+    permits.retainTargets(targets, now);
     entries
         .entrySet()
         .removeIf(entry -> entry.getValue().inFlight == 0 && !targets.contains(entry.getKey()));
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
@@ -79,14 +79,16 @@
   boolean recordNotice(RelayTarget target, TargetNotice notice, Instant now) {
     Optional<Status> known = status(target);
     boolean isOutdated = known.filter(s -> s.incarnation() > target.incarnation()).isPresent();
-    if (notice.isEmpty() || isOutdated) {
+    if (notice.isOpen() || isOutdated) {
       return false;
     }
     Status before =
         known.orElseGet(() -> new Status(target.incarnation(), false, Instant.MIN, now));
     TargetNotice delayed =
         new TargetNotice(
-            notice.isLeaving(), notice.pause().map(pause -> pause.plus(delay(target, pause))));
+            notice.isLeaving(),
+            notice.pause().map(pause -> pause.plus(delay(target, pause))),
+            notice.limit());
     Status after = before.withNotice(delayed, now);
     statuses.put(target.id(), after);
     return !before.isClosed(now) || after.isLeaving() != before.isLeaving();
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetNotice.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetNotice.java
@@ -2,19 +2,24 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.geraniumwharf.limit.RequestLimit;
 
 /**
  * What a target states in the head of a response about the requests that it wants from now on.
  *
  * @param isLeaving whether the target is about to stop
  * @param pause time in which the target wants no further requests from this instance
+ * @param limit requests that the target takes from all instances; empty if the response leaves open
+ *     whether it has a limit
  */
-public record TargetNotice(boolean isLeaving, Optional<Duration> pause) {
+public record TargetNotice(
+    boolean isLeaving, Optional<Duration> pause, Optional<RequestLimit> limit) {
 
   /** Longest pause that is observed, so that one wrong value does not exclude a target for good. */
   static final Duration MAX_PAUSE = Duration.ofMinutes(2);
 
-  private static final TargetNotice NONE = new TargetNotice(false, Optional.empty());
+  private static final TargetNotice NONE =
+      new TargetNotice(false, Optional.empty(), Optional.of(RequestLimit.none()));
 
   /** Returns the notice of a response that says nothing about further requests. */
   public static TargetNotice none() {
@@ -27,11 +32,16 @@
         pause
             .filter(asked -> !asked.isNegative() && !asked.isZero())
             .map(asked -> asked.compareTo(MAX_PAUSE) < 0 ? asked : MAX_PAUSE);
-    return new TargetNotice(isLeaving, bounded);
+    return new TargetNotice(isLeaving, bounded, NONE.limit);
   }
 
-  /** Returns whether the response says nothing about further requests. */
-  public boolean isEmpty() {
+  /** Returns a copy with a limit; it is empty if the response leaves open whether there is one. */
+  public TargetNotice withLimit(Optional<RequestLimit> newLimit) {
+    return new TargetNotice(isLeaving, pause, newLimit);
+  }
+
+  /** Returns whether the target goes on accepting requests of this instance. */
+  public boolean isOpen() {
     return !isLeaving && pause.isEmpty();
   }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
@@ -119,8 +119,8 @@
 
   @Test
   void should_take_a_pause_that_is_not_positive_as_none() {
-    assertTrue(TargetNotice.of(false, Optional.of(Duration.ZERO)).isEmpty());
-    assertTrue(TargetNotice.of(false, Optional.of(Duration.ofSeconds(-1))).isEmpty());
+    assertTrue(TargetNotice.of(false, Optional.of(Duration.ZERO)).isOpen());
+    assertTrue(TargetNotice.of(false, Optional.of(Duration.ofSeconds(-1))).isOpen());
   }
 
   private static RelayTarget laterProcess() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -343,6 +344,15 @@
     relay.recordNotice(target, notice, parsedRequest.id());
   }
 
+  /**
+   * Handles the limit that the response to a call states.
+   *
+   * @param statedFrom earliest time at which the response may have been formed
+   */
+  void limitStated(TargetCall from, RequestLimit limit, Instant statedFrom) {
+    relay.recordLimit(from.target(), limit, statedFrom, parsedRequest.id());
+  }
+
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay.load().recordSuccess(endedCall.target().id());
     relay.recordSound(request);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -18,6 +18,8 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.limit.RequestLimit;
+import org.geraniumwharf.limit.TargetLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
@@ -176,6 +178,28 @@
             .with("view", admission.routing().view().index()));
   }
 
+  /**
+   * Records the limit that a target states in a response.
+   *
+   * @param statedFrom earliest time at which the response may have been formed
+   * @param requestId request that the response answers
+   */
+  void recordLimit(RelayTarget target, RequestLimit limit, Instant statedFrom, String requestId) {
+    load.permits()
+        .recordResponse(target.id(), target.incarnation(), limit, statedFrom, now())
+        .ifPresent(change -> logLimit(change, requestId));
+  }
+
+  private void logLimit(TargetLimit change, String requestId) {
+    log.info(
+        Event.of(change.limit().isPresent() ? "target-limited" : "target-unlimited")
+            .with("target", change.target())
+            .with("incarnation", change.incarnation())
+            .with("requestsPerSecond", change.limit())
+            .with("request", requestId)
+            .with("view", admission.routing().view().index()));
+  }
+
   /** Records bytes of a target that belong to no response. */
   void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
     metrics.unexpectedBytes(bytes.cause().wireName());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -116,6 +116,17 @@
   public void onHead(HttpResponse newHead, TargetResponse response) {
     head = Optional.of(newHead);
     verdict = response.verdict();
+    response.notice().limit().ifPresent(limit -> exchange.limitStated(this, limit, statedFrom()));
+  }
+
+  /**
+   * Returns the earliest time at which the response may have been formed. A response that may come
+   * from elsewhere ends no limit.
+   */
+  private Instant statedFrom() {
+    return verdict == TargetResponse.Verdict.UNTRUSTED
+        ? Instant.MIN
+        : estimate.map(FirstTokenEstimate::sentAt).orElse(Instant.MIN);
   }
 
   private boolean isEventStream() {
