Issue permits for limited targets, and let placement leave out a target without one

Cause: no decision depends on the limit. RelayPlacement leaves a target without a permit out and records demand only for those that are cheaper than its choice. Messages: LimitReport, PermitDemand, PermitGrant, in lists that default to none, so mixed versions read each other.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -154,7 +154,9 @@
             duties.remoteLoad(heartbeat.daemon().name()),
             duties.suspectedParts(),
             duties.quarantinedParts(),
-            stores.changesSince(heartbeat.storePositions())));
+            stores.changesSince(heartbeat.storePositions()),
+            List.of(),
+            List.of()));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -182,6 +182,8 @@
             List.of(),
             List.of(),
             List.of(),
+            List.of(),
+            List.of(),
             List.of()));
     return leader.tick(state, term, Duration.ZERO, () -> Set.of("daemon-1"), now);
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -165,6 +165,8 @@
             crashes,
             soundParts,
             List.of(),
+            List.of(),
+            List.of(),
             List.of());
     return assertInstanceOf(HeartbeatAnswer.class, runner.call(call).get(30, SECONDS));
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/TokenBucket.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/admission/TokenBucket.java
@@ -5,7 +5,7 @@
 import org.geraniumwharf.internal.checks.Checks;
 
 /** Token bucket whose callers pass the current time. Not thread-safe. */
-final class TokenBucket {
+public final class TokenBucket {
 
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -22,12 +22,20 @@
   }
 
   /** Creates a full bucket whose capacity is what the rate yields in {@code burst}. */
-  static TokenBucket full(double ratePerSecond, Duration burst, Instant now) {
+  public static TokenBucket full(double ratePerSecond, Duration burst, Instant now) {
     Checks.checkPositive(ratePerSecond, "ratePerSecond");
     return new TokenBucket(ratePerSecond, capacity(ratePerSecond, burst), now);
   }
 
-  void changeRate(double newRatePerSecond, Duration burst, Instant now) {
+  /** Creates an empty bucket whose capacity is what the rate yields in {@code burst}. */
+  public static TokenBucket empty(double ratePerSecond, Duration burst, Instant now) {
+    TokenBucket bucket = full(ratePerSecond, burst, now);
+    bucket.available = 0;
+    return bucket;
+  }
+
+  /** Changes the rate and the capacity, and keeps what is available up to the new capacity. */
+  public void changeRate(double newRatePerSecond, Duration burst, Instant now) {
     refill(now);
     ratePerSecond = newRatePerSecond;
     capacity = capacity(newRatePerSecond, burst);
@@ -40,7 +48,7 @@
    *
    * @return false if the amount is not available; nothing is consumed then
    */
-  boolean tryConsume(double amount, Instant now) {
+  public boolean tryConsume(double amount, Instant now) {
     refill(now);
     if (available < Math.min(amount, capacity)) {
       return false;
@@ -50,17 +58,23 @@
   }
 
   /** Returns a consumed amount that was not used. */
-  void refund(double amount) {
+  public void refund(double amount) {
     available = Math.min(capacity, available + amount);
   }
 
   /** Returns the time after which {@link #tryConsume} would succeed; zero if it would now. */
-  Duration timeUntilAvailable(double amount, Instant now) {
+  public Duration timeUntilAvailable(double amount, Instant now) {
     refill(now);
     double missing = Math.min(amount, capacity) - available;
     return Duration.ofNanos((long) (Math.max(0, missing) / ratePerSecond * NANOS_PER_SECOND));
   }
 
+  /** Returns the amount that is available. */
+  public double available(Instant now) {
+    refill(now);
+    return available;
+  }
+
   private static double capacity(double rate, Duration burst) {
     return Math.max(1, rate * burst.toMillis() / 1000.0);
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/LimitTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/LimitTable.java
@@ -59,19 +59,21 @@
   }
 
   private static boolean isNews(TargetLimit reported, Optional<TargetLimit> known) {
-    if (known.isEmpty()) {
+    if (known.isEmpty() || reported.incarnation() > known.get().incarnation()) {
       return reported.limit().isPresent();
     }
-    if (reported.incarnation() != known.get().incarnation()) {
-      return reported.incarnation() > known.get().incarnation();
-    }
-    return !reported.limit().equals(known.get().limit())
+    return reported.incarnation() == known.get().incarnation()
+        && !reported.limit().equals(known.get().limit())
         && reported.since().isAfter(known.get().since());
   }
 
+  /** Returns the newest limit of a target, which may have ended. */
+  public Optional<TargetLimit> find(String target) {
+    return Optional.ofNullable(limits.get(target));
+  }
+
   private Optional<TargetLimit> find(String target, long incarnation) {
-    return Optional.ofNullable(limits.get(target))
-        .filter(known -> known.incarnation() == incarnation);
+    return find(target).filter(known -> known.incarnation() == incarnation);
   }
 
   /** Returns the limit of a process; empty if it has none. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetLimit.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetLimit.java
@@ -9,4 +9,10 @@
  * @param incarnation incarnation of the process
  * @param since time from which the limit is certain to be in force
  */
-public record TargetLimit(String target, long incarnation, RequestLimit limit, Instant since) {}
+public record TargetLimit(String target, long incarnation, RequestLimit limit, Instant since) {
+
+  /** Returns the limit in requests a second; only for one that is present. */
+  double requestsPerSecond() {
+    return limit.requestsPerSecond().orElseThrow();
+  }
+}
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -28,11 +28,12 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, TargetWork> remoteLoad = new HashMap<>();
   private final TargetAvailability availability;
-  private final TargetPermits permits = TargetPermits.create();
+  private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
 
-  private RelayLoadTable(TargetAvailability availability) {
+  private RelayLoadTable(TargetAvailability availability, TargetPermits permits) {
     this.availability = availability;
+    this.permits = permits;
   }
 
   /**
@@ -41,7 +42,17 @@
    * @param instance name of the instance
    */
   public static RelayLoadTable forInstance(String instance) {
-    return new RelayLoadTable(TargetAvailability.forInstance(instance));
+    return create(instance, TargetPermits.create(instance, () -> {}));
+  }
+
+  /**
+   * Creates the table of an instance.
+   *
+   * @param instance name of the instance
+   * @param permits permits for targets with a limit
+   */
+  public static RelayLoadTable create(String instance, TargetPermits permits) {
+    return new RelayLoadTable(TargetAvailability.forInstance(instance), permits);
   }
 
   /**
@@ -56,6 +67,7 @@
    * @param isEjected whether the target gets no requests because of recent failures or rejections
    * @param isAccepting whether the target has not announced in its responses that it is leaving or
    *     wants no requests
+   * @param hasPermit whether the target has no limit or a request to it is permitted now
    */
   public record Load(
       int inFlight,
@@ -64,7 +76,8 @@
       boolean hasRemoteReport,
       int cachedTokens,
       boolean isEjected,
-      boolean isAccepting) {}
+      boolean isAccepting,
+      boolean hasPermit) {}
 
   /** Returns what this instance knows of the limits of targets. */
   public TargetPermits permits() {
@@ -87,7 +100,8 @@
         hasRemoteReport,
         cachedTokens,
         entry.health.isEjected(now),
-        availability.isAccepting(target, entry.inFlight, now));
+        availability.isAccepting(target, entry.inFlight, now),
+        permits.isAvailable(target.id(), target.incarnation(), now));
   }
 
   /** Returns the load of this instance, as it is reported to the other instances. */
@@ -175,14 +189,22 @@
     return availability.isClosed(target, now);
   }
 
-  /** Returns when the first of some targets accepts requests; empty if all are leaving. */
+  /**
+   * Returns when the first of some targets accepts requests and has a permit for one that waits;
+   * empty if all are leaving.
+   */
   public synchronized Optional<Instant> opensAt(Collection<RelayTarget> targets, Instant now) {
     return targets.stream()
-        .map(target -> availability.opensAt(target, now))
+        .map(target -> availability.opensAt(target, now).map(end -> permittedAt(target, end, now)))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder());
   }
 
+  private Instant permittedAt(RelayTarget target, Instant opensAt, Instant now) {
+    Instant permitted = permits.expectedAt(target.id(), target.incarnation(), now);
+    return permitted.isAfter(opensAt) ? permitted : opensAt;
+  }
+
   /** Removes all parts cached at a target, which no longer apply once it has loaded new weights. */
   public synchronized void clearCachedParts(String target) {
     entry(target).parts.clear();
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.geraniumwharf.internal.routing.RendezvousHash;
+import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
@@ -86,7 +87,8 @@
       RelayLoadTable.Load load) {}
 
   /**
-   * Returns the cheapest target that accepts requests, has free capacity and is not ejected.
+   * Returns the cheapest target that accepts requests, has free capacity, is not ejected and has no
+   * limit or a permit left. Records the demand for permits of cheaper targets.
    *
    * @param storedTokens tokens at the start of the prompt that cache stores hold
    * @param rates rates of the engines; unused for a request that is no generation
@@ -108,14 +110,46 @@
                 resolved, targets, preferred, table, storedTokens, rates, excluded, instances, now)
             .filter(choice -> !choice.load().isEjected())
             .toList();
-    return comparedChoices(resolved, open, preferred, instances)
-        .min(Comparator.comparingDouble(Choice::costMillis));
+    List<Choice> permitted = open.stream().filter(choice -> choice.load().hasPermit()).toList();
+    Optional<Choice> chosen = cheapest(comparedChoices(resolved, permitted, preferred, instances));
+    if (permitted.size() < open.size()) {
+      recordDemand(
+          resolved, comparedChoices(resolved, open, preferred, instances), chosen, table, now);
+    }
+    return chosen;
+  }
+
+  private static Optional<Choice> cheapest(Stream<Choice> choices) {
+    return choices.min(Comparator.comparingDouble(Choice::costMillis));
+  }
+
+  /** Records that a request would have gone to the targets without a permit that are cheaper. */
+  private static void recordDemand(
+      ResolvedRequest resolved,
+      Stream<Choice> choices,
+      Optional<Choice> chosen,
+      RelayLoadTable table,
+      Instant now) {
+    double bound = chosen.map(Choice::costMillis).orElse(Double.POSITIVE_INFINITY);
+    TargetPermits permits = table.permits();
+    choices
+        .filter(choice -> !choice.load().hasPermit() && choice.costMillis() < bound)
+        .map(Choice::target)
+        .forEach(
+            target -> {
+              if (chosen.isPresent()) {
+                permits.recordSteered(target.id(), target.incarnation(), now);
+              } else {
+                permits.addWaiting(target.id(), target.incarnation(), resolved.request().id(), now);
+              }
+            });
   }
 
   /**
-   * Returns the cheapest target that accepts requests and has free capacity, including ejected
-   * ones. Meant for a request whose response has started: it can neither be queued nor rejected and
-   * would otherwise be lost.
+   * Returns the cheapest target that accepts requests, has free capacity and has no limit or a
+   * permit left, including ejected ones. Records the demand for permits of cheaper targets. Meant
+   * for a request whose response has started: it can neither be queued nor rejected and would
+   * otherwise be lost.
    *
    * @param rates rates of the engines; unused for a request that is no generation
    */
@@ -128,8 +162,12 @@
       int instances,
       Instant now) {
     String preferred = preferredTarget(resolved, targets);
-    return openChoices(resolved, targets, preferred, table, 0, rates, excluded, instances, now)
-        .min(Comparator.comparingDouble(Choice::costMillis));
+    List<Choice> open =
+        openChoices(resolved, targets, preferred, table, 0, rates, excluded, instances, now)
+            .toList();
+    Optional<Choice> chosen = cheapest(open.stream().filter(choice -> choice.load().hasPermit()));
+    recordDemand(resolved, open.stream(), chosen, table, now);
+    return chosen;
   }
 
   /** Returns a choice for each target that accepts requests and has free capacity. */
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -4,10 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumwharf.limit.RequestLimit;
+import org.geraniumwharf.limit.TargetPermits;
+import org.geraniumwharf.schema.messages.PermitDemand;
+import org.geraniumwharf.schema.messages.PermitGrant;
 import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.objects.Execution;
 import org.junit.jupiter.api.Test;
@@ -188,6 +193,77 @@
     assertNotEquals(isolated.cacheScope(target), DRAFT.cacheScope(target));
   }
 
+  @Test
+  void should_leave_out_a_target_at_its_limit_and_record_the_demand() {
+    RelayTarget preferred = choose(DRAFT).orElseThrow().target();
+    limit(preferred);
+
+    assertNotEquals(preferred, choose(DRAFT).orElseThrow().target());
+    assertEquals(List.of(PermitDemand.of(preferred.id(), 1, 0, 1)), demands());
+  }
+
+  @Test
+  void should_record_no_demand_for_a_limited_target_that_is_not_the_cheapest() {
+    RelayTarget preferred = choose(DRAFT).orElseThrow().target();
+    TARGETS.stream().filter(target -> !target.equals(preferred)).forEach(this::limit);
+
+    assertEquals(preferred, choose(DRAFT).orElseThrow().target());
+    assertTrue(demands().isEmpty());
+  }
+
+  @Test
+  void should_let_a_request_wait_for_all_targets_when_each_is_at_its_limit() {
+    TARGETS.forEach(this::limit);
+
+    assertTrue(choose(DRAFT).isEmpty());
+    assertEquals(TARGETS.size(), demands().stream().mapToInt(PermitDemand::waiting).sum());
+  }
+
+  @Test
+  void should_choose_a_limited_target_while_there_are_permits() {
+    RelayTarget preferred = choose(DRAFT).orElseThrow().target();
+    limit(preferred);
+    PermitGrant grant = PermitGrant.of(preferred.id(), 1, 1, 0);
+    load.permits()
+        .applyAnswer(
+            new TargetPermits.Answer(1, List.of(), List.of(grant)),
+            TestRequests.NOW,
+            TestRequests.NOW);
+
+    assertEquals(preferred, choose(DRAFT).orElseThrow().target());
+  }
+
+  @Test
+  void should_tell_when_a_target_at_its_limit_is_expected_to_have_a_permit() {
+    RelayTarget limited = TARGETS.get(0);
+    limit(limited);
+    PermitGrant grant = PermitGrant.of(limited.id(), 1, 0, 5000);
+    load.permits()
+        .applyAnswer(
+            new TargetPermits.Answer(1, List.of(), List.of(grant)),
+            TestRequests.NOW,
+            TestRequests.NOW);
+
+    Instant opensAt = load.opensAt(List.of(limited), TestRequests.NOW).orElseThrow();
+
+    assertTrue(opensAt.isAfter(TestRequests.NOW.plusSeconds(4)));
+    assertEquals(Optional.of(TestRequests.NOW), load.opensAt(TARGETS, TestRequests.NOW));
+  }
+
+  private void limit(RelayTarget target) {
+    load.permits()
+        .recordResponse(
+            target.id(),
+            target.incarnation(),
+            RequestLimit.of(4),
+            TestRequests.NOW,
+            TestRequests.NOW);
+  }
+
+  private List<PermitDemand> demands() {
+    return load.permits().report(TestRequests.NOW).demands();
+  }
+
   private Optional<RelayPlacement.Choice> choose(ResolvedRequest resolved) {
     return RelayPlacement.forDataCentre("dc-1")
         .choose(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -128,7 +128,9 @@
                   crashReport.crashes(),
                   crashReport.soundParts(),
                   crashReport.quarantinedParts(),
-                  stores.positions()),
+                  stores.positions(),
+                  List.of(),
+                  List.of()),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
