Let the leader hold the limits of targets and issue their permits with heartbeat answers

Cause: no instance knows what the others send. Change: PermitDuty keeps the newest limit of each target in the leader's memory, told by heartbeats, and answers each heartbeat with the limits and permits; nothing of it is replicated, and a new leader begins without permits.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -155,8 +155,8 @@
             duties.suspectedParts(),
             duties.quarantinedParts(),
             stores.changesSince(heartbeat.storePositions()),
-            List.of(),
-            List.of()));
+            duties.targetLimits(now),
+            duties.issuePermits(heartbeat, now)));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -20,7 +20,9 @@
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.LimitReport;
 import org.geraniumwharf.schema.messages.OrganisationShare;
+import org.geraniumwharf.schema.messages.PermitGrant;
 import org.geraniumwharf.schema.messages.TargetRenewal;
 import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.state.AnnounceCommand;
@@ -49,6 +51,7 @@
   private final Map<String, TargetLease> targetLeases = new HashMap<>();
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private final ReportedLoad reportedLoad = new ReportedLoad();
+  private final PermitDuty permits;
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
   private Instant leaderSince = Instant.MIN;
@@ -57,6 +60,7 @@
   LeaderDuties(ControlOptions options, EventLog log) {
     this.options = options;
     this.log = log;
+    this.permits = new PermitDuty(log);
   }
 
   /**
@@ -67,6 +71,7 @@
     targetLeases.clear();
     daemonLeases.clear();
     reportedLoad.clear();
+    permits.startLeadership();
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
     leaderSince = now;
@@ -87,6 +92,7 @@
       reportedLoad.replace(call.daemon().name(), call.targetWork());
     }
     recordCrashes(call, now);
+    permits.receiveHeartbeat(call, now);
     List<Command> commands = new ArrayList<>();
     for (TargetRenewal renewal : call.renewals()) {
       renewTargetLease(renewal.id(), renewal.incarnation(), renewal.sequence(), now);
@@ -136,6 +142,16 @@
     return limitShares.allocate(call.daemon().name(), call.demands(), liveEntryInstances(now), now);
   }
 
+  /** Returns the limits of targets in force, with those that ended lately. */
+  List<LimitReport> targetLimits(Instant now) {
+    return permits.limits(now);
+  }
+
+  /** Issues permits for limited targets for the demands that a daemon reports. */
+  List<PermitGrant> issuePermits(HeartbeatCall call, Instant now) {
+    return permits.issue(call, now);
+  }
+
   private boolean isOlderIncarnation(DaemonStatus status) {
     DaemonLease current = daemonLeases.get(status.name());
     return current != null && current.status().incarnation() > status.incarnation();
@@ -226,6 +242,7 @@
     }
     nextPrune = now.plus(PRUNE_INTERVAL);
     limitShares.prune(now);
+    permits.prune(state, now);
     PruneCommand prune =
         PruneCommand.of(
             now.minus(options.runRetention()).toEpochMilli(),
