Send requests to limited targets only with permits of the leader

Cause: the limit was read nowhere, so placement and queue went on as before. Evidence: TargetLimitExceededTest was red, 122 requests in 4 s at a limit of 4, allowed 29. Change: each heartbeat of an entry tells the limits that it knows and the requests that wait; a limit that was just met, and a waiting request that could have a permit now, are told at once. A permit is taken when the target is chosen, checked again when the connection is open, and given back if the request is not sent; first sends, repeats and resumed streams alike. If every target is at its limit for longer than a request would wait, it is refused at once, with a Retry-After from the expected time; otherwise it waits and is woken by permits. Counters of permits, of requests refused and of those that went elsewhere.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitStock.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitStock.java
@@ -5,7 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Queue;
@@ -34,7 +34,7 @@
 
   private final TargetLimit limit;
   private final Queue<Instant> expiries = new PriorityQueue<>(Comparator.naturalOrder());
-  private final Set<String> waiting = new HashSet<>();
+  private final Set<String> waiting = new LinkedHashSet<>();
   private final Deque<Instant> recentRequests = new ArrayDeque<>();
   private final LocalShare localShare;
   private final Instant createdAt;
@@ -127,12 +127,12 @@
     }
   }
 
-  /** Returns the time at which the last request that waits is expected to get a permit. */
-  Instant expectedAt(int instances, Instant now) {
+  /** Returns the time at which a request, which may be waiting, is expected to get a permit. */
+  Instant expectedAt(String requestId, int instances, Instant now) {
     if (isAvailable(instances, now)) {
       return now;
     }
-    int ahead = Math.max(0, waiting.size() - 1);
+    int ahead = countAhead(requestId);
     if (isLocal(now)) {
       return now.plus(localShare.wait(ahead, instances, now));
     }
@@ -142,6 +142,17 @@
     return expected.isAfter(now) ? expected.plus(REPORT_DELAY) : now;
   }
 
+  private int countAhead(String requestId) {
+    int ahead = 0;
+    for (String other : waiting) {
+      if (other.equals(requestId)) {
+        return ahead;
+      }
+      ahead++;
+    }
+    return ahead;
+  }
+
   /** Returns the permits that the entry could use besides those that it holds. */
   PermitDemand demand(Instant now) {
     removeExpired(now);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
@@ -30,6 +30,7 @@
   private long granted;
   private long spent;
   private long expired;
+  private long steered;
 
   private TargetPermits(String instance, Runnable reportNow) {
     this.instance = instance;
@@ -76,8 +77,9 @@
    * @param granted permits that the leader granted
    * @param spent requests that were sent with a permit
    * @param expired permits that were not used in time
+   * @param steered times at which a request went elsewhere, since a target was at its limit
    */
-  public record Counts(long granted, long spent, long expired) {}
+  public record Counts(long granted, long spent, long expired, long steered) {}
 
   // ------------------------------------------------------------------- limits
 
@@ -165,7 +167,12 @@
 
   /** Records that a request found no permit for a target and was sent to another one. */
   public synchronized void recordSteered(String target, long incarnation, Instant now) {
-    stock(target, incarnation).ifPresent(stock -> stock.recordRequest(now));
+    stock(target, incarnation)
+        .ifPresent(
+            stock -> {
+              steered++;
+              stock.recordRequest(now);
+            });
   }
 
   /** Records that a request waits for a permit, unless that is known. */
@@ -174,7 +181,7 @@
     Optional<PermitStock> stock = stock(target, incarnation);
     if (stock.isPresent()
         && stock.get().addWaiting(requestId, now)
-        && !stock.get().expectedAt(instances, now).isAfter(now)) {
+        && !stock.get().expectedAt(requestId, instances, now).isAfter(now)) {
       requestReport(now);
     }
   }
@@ -184,9 +191,12 @@
     stocks.values().forEach(stock -> stock.removeWaiting(requestId));
   }
 
-  /** Returns when the last request that waits for a target is expected to get a permit. */
-  public synchronized Instant expectedAt(String target, long incarnation, Instant now) {
-    return stock(target, incarnation).map(stock -> stock.expectedAt(instances, now)).orElse(now);
+  /** Returns when a request, which may be waiting, is expected to get a permit for a target. */
+  public synchronized Instant expectedAt(
+      String target, long incarnation, String requestId, Instant now) {
+    return stock(target, incarnation)
+        .map(stock -> stock.expectedAt(requestId, instances, now))
+        .orElse(now);
   }
 
   // ------------------------------------------------------------------ reports
@@ -234,6 +244,6 @@
   /** Returns the numbers of permits since the start. */
   public synchronized Counts counts() {
     long inStocks = stocks.values().stream().mapToLong(PermitStock::expiredCount).sum();
-    return new Counts(granted, spent, expired + inStocks);
+    return new Counts(granted, spent, expired + inStocks, steered);
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -190,21 +190,32 @@
   }
 
   /**
-   * Returns when the first of some targets accepts requests and has a permit for one that waits;
-   * empty if all are leaving.
+   * Returns when the first of some targets accepts a request and has a permit for it; empty if all
+   * are leaving.
    */
-  public synchronized Optional<Instant> opensAt(Collection<RelayTarget> targets, Instant now) {
+  public synchronized Optional<Instant> opensAt(
+      Collection<RelayTarget> targets, String requestId, Instant now) {
     return targets.stream()
-        .map(target -> availability.opensAt(target, now).map(end -> permittedAt(target, end, now)))
+        .map(
+            target ->
+                availability
+                    .opensAt(target, now)
+                    .map(opensAt -> permittedAt(target, requestId, opensAt, now)))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder());
   }
 
-  private Instant permittedAt(RelayTarget target, Instant opensAt, Instant now) {
-    Instant permitted = permits.expectedAt(target.id(), target.incarnation(), now);
+  private Instant permittedAt(RelayTarget target, String requestId, Instant opensAt, Instant now) {
+    Instant permitted = permits.expectedAt(target.id(), target.incarnation(), requestId, now);
     return permitted.isAfter(opensAt) ? permitted : opensAt;
   }
 
+  /** Records that a request waits for permits of those of some targets that are at their limits. */
+  public void addWaiting(Collection<RelayTarget> targets, String requestId, Instant now) {
+    targets.forEach(
+        target -> permits.addWaiting(target.id(), target.incarnation(), requestId, now));
+  }
+
   /** Removes all parts cached at a target, which no longer apply once it has loaded new weights. */
   public synchronized void clearCachedParts(String target) {
     entry(target).parts.clear();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -17,6 +17,7 @@
 import org.geraniumwharf.internal.fleet.DeploymentWork;
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.LimitExchange;
 import org.geraniumwharf.internal.fleet.OrderDelivery;
 import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
@@ -178,6 +179,7 @@
         WorkExchange.none(),
         CrashExchange.none(),
         StoreExchange.none(),
+        LimitExchange.none(),
         log,
         clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -37,6 +37,7 @@
    * @param exchange relayed work, told to the other daemons
    * @param crashes crash evidence, shared with the other daemons
    * @param stores contents of cache stores, which control instances hand on
+   * @param limits limits of targets and permits for them, shared by way of the leader
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
@@ -53,6 +54,7 @@
       WorkExchange exchange,
       CrashExchange crashes,
       StoreExchange stores,
+      LimitExchange limits,
       EventLog log,
       InstantSource clock) {
     ControlReachability reachability = new ControlReachability(directory.names().size());
@@ -73,6 +75,7 @@
             exchange,
             crashes,
             stores,
+            limits,
             log,
             clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.admission.OrganisationLimiter;
 import org.geraniumwharf.error.ServingException;
+import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.quarantine.PartQuarantine;
@@ -37,6 +38,7 @@
   private final WorkExchange exchange;
   private final CrashExchange crashes;
   private final StoreExchange stores;
+  private final LimitExchange limits;
   private final EventLog log;
   private final InstantSource clock;
   private final Semaphore changes = new Semaphore(0);
@@ -53,6 +55,7 @@
       WorkExchange exchange,
       CrashExchange crashes,
       StoreExchange stores,
+      LimitExchange limits,
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
@@ -66,6 +69,7 @@
     this.exchange = exchange;
     this.crashes = crashes;
     this.stores = stores;
+    this.limits = limits;
     this.log = log;
     this.clock = clock;
   }
@@ -92,20 +96,21 @@
     }
   }
 
-  /** Sends a heartbeat and returns whether relayed work is under way. */
+  /** Sends a heartbeat and returns whether relayed work is under way or waits for permits. */
   private boolean sendOne() {
     try {
+      Instant now = clock.instant();
       List<TargetWork> relayed = exchange.own();
-      send(relayed);
-      return !relayed.isEmpty();
+      TargetPermits.Report limitReport = limits.report(now);
+      send(relayed, limitReport, now);
+      return !relayed.isEmpty() || !limitReport.demands().isEmpty();
     } catch (RuntimeException e) {
       log.warn(Event.of("heartbeat-failed").with("cause", e));
       return false;
     }
   }
 
-  private void send(List<TargetWork> relayed) {
-    Instant now = clock.instant();
+  private void send(List<TargetWork> relayed, TargetPermits.Report limitReport, Instant now) {
     FleetSnapshot view = holder.current();
     TargetRegistrations.Report report = registrations.takeReport(view, now);
     PartQuarantine.Report crashReport = crashes.report();
@@ -129,8 +134,8 @@
                   crashReport.soundParts(),
                   crashReport.quarantinedParts(),
                   stores.positions(),
-                  List.of(),
-                  List.of()),
+                  limitReport.limits(),
+                  limitReport.demands()),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
@@ -141,6 +146,10 @@
               answer.term(), answer.suspectedParts(), answer.quarantinedParts()),
           clock.instant());
       stores.received(answer.storeChanges(), clock.instant());
+      limits.answered(
+          new TargetPermits.Answer(answer.entryInstances(), answer.limits(), answer.permits()),
+          now,
+          clock.instant());
       if (answer.entryInstances() > 0) {
         limiter.applyShares(answer.entryInstances(), answer.shares(), clock.instant());
       }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -27,6 +27,9 @@
 
   private final Counter quarantinedRequests = registry.counter("quarantined_requests_total");
 
+  private final Counter requestsRefusedAtLimit =
+      registry.counter("requests_refused_at_limit_total");
+
   private final Counter targetsLeaving = registry.counter("targets_closed_total.leaving");
   private final Counter targetsPaused = registry.counter("targets_closed_total.paused");
 
@@ -77,6 +80,11 @@
     quarantinedRequests.inc();
   }
 
+  /** Records a request that was refused since targets were at their limits of requests. */
+  public void requestRefusedAtLimit() {
+    requestsRefusedAtLimit.inc();
+  }
+
   /**
    * Records that a target stated in a response that it wants no further requests.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -28,6 +28,7 @@
 import org.geraniumwharf.internal.fleet.DeploymentWork;
 import org.geraniumwharf.internal.fleet.FleetMembership;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
+import org.geraniumwharf.internal.fleet.LimitExchange;
 import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.fleet.ViewReports;
@@ -38,6 +39,7 @@
 import org.geraniumwharf.internal.relay.KnownStores;
 import org.geraniumwharf.internal.relay.LoggedQuarantine;
 import org.geraniumwharf.internal.relay.Relay;
+import org.geraniumwharf.internal.relay.RelayLimits;
 import org.geraniumwharf.internal.relay.StoreEventPollers;
 import org.geraniumwharf.internal.threads.DaemonThreads;
 import org.geraniumwharf.internal.transport.ClusterKey;
@@ -45,6 +47,7 @@
 import org.geraniumwharf.internal.transport.PeerNetwork;
 import org.geraniumwharf.internal.transport.PeerService;
 import org.geraniumwharf.internal.transport.Sockets;
+import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -95,7 +98,7 @@
   private final FleetMembership membership;
   private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private Optional<ControlInstance> instance = Optional.empty();
-  private Optional<Relay> relay = Optional.empty();
+  private volatile Optional<Relay> relay = Optional.empty();
 
   private NodeRuntime(NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
     this.settings = settings;
@@ -104,7 +107,8 @@
     this.clock = clock;
     this.quarantine = LoggedQuarantine.create(log);
     this.stores = KnownStores.create(log);
-    this.load = RelayLoadTable.forInstance(settings.peer());
+    TargetPermits permits = TargetPermits.create(settings.peer(), this::sendHeartbeat);
+    this.load = RelayLoadTable.create(settings.peer(), permits);
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
     this.network =
         PeerNetwork.create(
@@ -130,6 +134,9 @@
             settings.isEntry() ? workExchange() : WorkExchange.none(),
             settings.isEntry() ? quarantine : CrashExchange.none(),
             settings.isEntry() ? stores : StoreExchange.none(),
+            settings.isEntry()
+                ? RelayLimits.create(permits, this::wakeQueued, log)
+                : LimitExchange.none(),
             log,
             clock);
   }
@@ -144,6 +151,14 @@
     return new NodeRuntime(settings, edges, log, clock);
   }
 
+  private void sendHeartbeat() {
+    membership.changed();
+  }
+
+  private void wakeQueued() {
+    relay.ifPresent(Relay::wakeQueued);
+  }
+
   private WorkExchange workExchange() {
     return new WorkExchange() {
       @Override
@@ -288,11 +303,20 @@
             clock);
     relay = Optional.of(started);
     metrics.gauge("in_flight", started::inFlight);
+    registerPermitGauges();
     metrics.gauge("quarantined_parts", () -> quarantine.size(clock.instant()));
     metrics.gauge("ready", () -> isReady() ? 1 : 0);
     startApi(settings.ready().orElseThrow(), edges.readiness(this::isReady));
   }
 
+  private void registerPermitGauges() {
+    TargetPermits permits = load.permits();
+    metrics.gauge("target_permits_total.granted", () -> permits.counts().granted());
+    metrics.gauge("target_permits_total.spent", () -> permits.counts().spent());
+    metrics.gauge("target_permits_total.expired", () -> permits.counts().expired());
+    metrics.gauge("requests_steered_at_limit_total", () -> permits.counts().steered());
+  }
+
   private boolean isReady() {
     return membership.readiness().isReady(clock.instant())
         && holder.current().configuration().version() > 0;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -14,9 +14,11 @@
 /** A running relay, which forwards HTTP requests of callers to targets. */
 public final class Relay {
 
+  private final RelayState state;
   private final RelayServer server;
 
-  private Relay(RelayServer server) {
+  private Relay(RelayState state, RelayServer server) {
+    this.state = state;
     this.server = server;
   }
 
@@ -68,7 +70,12 @@
             clock);
     RelayServer server = new RelayServer(relay, loops);
     server.start(address);
-    return new Relay(server);
+    return new Relay(relay, server);
+  }
+
+  /** Wakes queued requests, which may have permits now. */
+  public void wakeQueued() {
+    state.wakeAllQueued();
   }
 
   /** Closes each connection of a caller after its next response from now on. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.limit.Permit;
 import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.CacheTransfers;
@@ -163,9 +164,10 @@
     if (choice.isEmpty() && isResponseStarted) {
       choice = relay.chooseIncludingEjected(request, triedTargets, now);
     }
-    if (choice.isPresent()) {
+    Optional<Permit> permit = choice.flatMap(chosen -> relay.takePermit(chosen.target(), now));
+    if (permit.isPresent()) {
       leaveQueue();
-      send(choice.get(), now);
+      send(choice.get(), permit.get(), now);
     } else if (queueEntry.isEmpty()) {
       enqueue(queue, now);
     }
@@ -177,7 +179,7 @@
         relay.admission().routing().targetsOf(request.service().name()).stream()
             .filter(target -> !triedTargets.contains(target.id()))
             .toList();
-    Optional<Instant> opensAt = relay.load().opensAt(untried, now);
+    Optional<Instant> opensAt = relay.load().opensAt(untried, parsedRequest.id(), now);
     if (opensAt.isEmpty()) {
       reject(
           ServingErrors.noTarget(request.route().name())
@@ -186,6 +188,7 @@
       return;
     }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request.deadline(), now)))) {
+      relay.recordRefusedAtLimit(untried, now);
       rejectOverloaded(Duration.between(now, opensAt.get()), remaining);
       return;
     }
@@ -196,6 +199,9 @@
       rejectOverloaded(admission.expectedWait(), remaining);
       return;
     }
+    if (opensAt.get().isAfter(now)) {
+      relay.load().addWaiting(untried, parsedRequest.id(), now);
+    }
     var unused = schedule(this::queueTimedOut, Duration.between(now, queueEntry.get().expiresAt()));
     scheduleQueueRetry();
   }
@@ -232,18 +238,19 @@
   }
 
   private void leaveQueue() {
+    relay.load().permits().removeWaiting(parsedRequest.id());
     queueEntry.ifPresent(waiting -> relay.queue(request).remove(waiting));
     queueEntry = Optional.empty();
   }
 
   // ------------------------------------------------------------------ sending
 
-  private void send(RelayPlacement.Choice choice, Instant now) {
+  private void send(RelayPlacement.Choice choice, Permit permit, Instant now) {
     RelayTarget target = choice.target();
     triedTargets.add(target.id());
     RelayLoadTable.InFlightRequest run =
         relay.load().recordSent(target, request, choice.firstTokenMillis());
-    TargetCall next = new TargetCall(this, target, run, choice);
+    TargetCall next = new TargetCall(this, target, run, choice, permit);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay, request, sendCount + 1, choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
@@ -268,7 +275,8 @@
       deadlineExceeded();
       return;
     }
-    if (relay.load().isClosed(next.target(), now)) {
+    if (relay.load().isClosed(next.target(), now)
+        || !relay.load().permits().isValid(next.permit(), now)) {
       caller.targetPool().release(addressOf(next), connection);
       closedWhileConnecting(next);
       return;
@@ -291,7 +299,10 @@
         TargetRequests.forward(relay.protocol(), httpRequest, forwarded), parsedRequest.id(), next);
   }
 
-  /** Places a request again whose target asked for no more while the connection was opened. */
+  /**
+   * Places a request again whose target asked for no more, or whose permit expired, while the
+   * connection was opened.
+   */
   private void closedWhileConnecting(TargetCall unsent) {
     triedTargets.remove(unsent.target().id());
     if (endCall(unsent)) {
@@ -334,6 +345,9 @@
     }
     call = Optional.empty();
     Instant now = relay.now();
+    if (!endedCall.isSent()) {
+      relay.load().permits().giveBack(endedCall.permit());
+    }
     relay.load().recordEnded(endedCall.run());
     relay.requestEnded(request, now);
     return !isDone;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -18,8 +18,8 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.limit.Permit;
 import org.geraniumwharf.limit.RequestLimit;
-import org.geraniumwharf.limit.TargetLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
@@ -116,7 +116,7 @@
     holder.onChange(
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
-          relay.queues.keySet().forEach(relay::wakeQueued);
+          relay.wakeAllQueued();
         });
     return relay;
   }
@@ -187,17 +187,23 @@
   void recordLimit(RelayTarget target, RequestLimit limit, Instant statedFrom, String requestId) {
     load.permits()
         .recordResponse(target.id(), target.incarnation(), limit, statedFrom, now())
-        .ifPresent(change -> logLimit(change, requestId));
+        .ifPresent(change -> RelayLimits.logChange(log, change, requestId));
   }
 
-  private void logLimit(TargetLimit change, String requestId) {
-    log.info(
-        Event.of(change.limit().isPresent() ? "target-limited" : "target-unlimited")
-            .with("target", change.target())
-            .with("incarnation", change.incarnation())
-            .with("requestsPerSecond", change.limit())
-            .with("request", requestId)
-            .with("view", admission.routing().view().index()));
+  /** Takes a permit for a request to a target; empty if the target is at its limit. */
+  Optional<Permit> takePermit(RelayTarget target, Instant now) {
+    return load.permits().take(target.id(), target.incarnation(), now);
+  }
+
+  /** Counts a request that is refused, if some of its targets are at their limits. */
+  void recordRefusedAtLimit(List<RelayTarget> targets, Instant now) {
+    boolean isAnyAtLimit =
+        targets.stream()
+            .anyMatch(
+                target -> !load.permits().isAvailable(target.id(), target.incarnation(), now));
+    if (isAnyAtLimit) {
+      metrics.requestRefusedAtLimit();
+    }
   }
 
   /** Records bytes of a target that belong to no response. */
@@ -304,6 +310,11 @@
     wakeQueued(request.service().name());
   }
 
+  /** Wakes the first queued requests of each service. */
+  void wakeAllQueued() {
+    queues.keySet().forEach(this::wakeQueued);
+  }
+
   /** Wakes the first queued requests of a service. */
   void wakeQueued(String service) {
     queues.get(service).entriesInOrder().stream()
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Instant;
 import java.util.Optional;
+import org.geraniumwharf.limit.Permit;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -33,6 +34,7 @@
   private final ByteBuf body = Unpooled.buffer(0);
 
   private final RelayPlacement.Choice choice;
+  private final Permit permit;
   private Optional<FirstTokenEstimate> estimate = Optional.empty();
   private Optional<TargetConnection> connection = Optional.empty();
   private Optional<HttpResponse> head = Optional.empty();
@@ -45,8 +47,10 @@
       RelayExchange exchange,
       RelayTarget target,
       RelayLoadTable.InFlightRequest run,
-      RelayPlacement.Choice choice) {
+      RelayPlacement.Choice choice,
+      Permit permit) {
     this.choice = choice;
+    this.permit = permit;
     this.exchange = exchange;
     this.target = target;
     this.run = run;
@@ -61,6 +65,11 @@
     return target;
   }
 
+  /** Returns the permit that the request uses when it is sent. */
+  Permit permit() {
+    return permit;
+  }
+
   /** Records that the request is being sent. */
   void sent(TargetConnection opened, CacheTransfers transfers, Instant now) {
     connection = Optional.of(opened);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
@@ -60,6 +60,7 @@
         new FailingExchange(),
         CrashExchange.none(),
         StoreExchange.none(),
+        LimitExchange.none(),
         EventLog.none(),
         clock);
   }
