Refuse a queued request once no permit can come in its time

Cause: only a new request was compared with the expected time. Change: a grant tells besides when the first waiting request of the entry can have a permit; a queued request is refused when no target can take it before it has to leave the queue, be it for a limit or a pause that began meanwhile. The bound is that of the entry's first request, so that an urgent one that came later isn't refused wrongly. The refusal of a request that already waits has no test of its own with a fleet.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitIssuer.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitIssuer.java
@@ -89,7 +89,12 @@
               queue.issue(
                   entry, isCurrent ? demand.waiting() : 0, isCurrent ? demand.expected() : 0, now);
           grants.add(
-              PermitGrant.of(target, incarnation, permits, queue.wait(entry, now).toMillis()));
+              PermitGrant.of(
+                  target,
+                  incarnation,
+                  permits,
+                  queue.wait(entry, now).toMillis(),
+                  queue.firstWait(entry, now).toMillis()));
         });
     return grants;
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitQueue.java
@@ -120,7 +120,21 @@
             .filter(place -> !place.entry().equals(entry))
             .mapToInt(Place::requests)
             .sum();
-    double missing = Math.max(0, ofOthers + 1 - bucket.available(now));
+    return waitBehind(ofOthers, now);
+  }
+
+  /** Returns the time until the first request of an entry would get a permit. */
+  Duration firstWait(String entry, Instant now) {
+    int ahead =
+        places.stream()
+            .takeWhile(place -> !place.entry().equals(entry))
+            .mapToInt(Place::requests)
+            .sum();
+    return waitBehind(ahead, now);
+  }
+
+  private Duration waitBehind(int requests, Instant now) {
+    double missing = Math.max(0, requests + 1 - bucket.available(now));
     return Duration.ofNanos((long) (missing / requestsPerSecond * NANOS_PER_SECOND));
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitStock.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/PermitStock.java
@@ -40,6 +40,7 @@
   private final Instant createdAt;
   private Instant answeredAt;
   private Duration wait = Duration.ZERO;
+  private Duration firstWait = Duration.ZERO;
   private long expiredCount;
 
   private PermitStock(TargetLimit limit, LocalShare localShare, Instant now) {
@@ -142,6 +143,16 @@
     return expected.isAfter(now) ? expected.plus(REPORT_DELAY) : now;
   }
 
+  /** Returns the time before which no request that waits gets a permit. */
+  Instant earliestAt(int instances, Instant now) {
+    if (isAvailable(instances, now)) {
+      return now;
+    }
+    Instant earliest =
+        isLocal(now) ? now.plus(localShare.wait(0, instances, now)) : answeredAt.plus(firstWait);
+    return earliest.isAfter(now) ? earliest : now;
+  }
+
   private int countAhead(String requestId) {
     int ahead = 0;
     for (String other : waiting) {
@@ -181,6 +192,7 @@
     }
     answeredAt = now;
     wait = Duration.ofMillis(grant.waitMillis());
+    firstWait = Duration.ofMillis(grant.firstWaitMillis());
     localShare.stop();
     for (int i = 0; i < grant.permits(); i++) {
       expiries.add(reportedAt.plus(PermitIssuer.VALIDITY));
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
@@ -199,6 +199,11 @@
         .orElse(now);
   }
 
+  /** Returns the time before which no request that waits gets a permit for a target. */
+  public synchronized Instant earliestAt(String target, long incarnation, Instant now) {
+    return stock(target, incarnation).map(stock -> stock.earliestAt(instances, now)).orElse(now);
+  }
+
   // ------------------------------------------------------------------ reports
 
   private void requestReport(Instant now) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.schema.messages.TargetWork;
 
@@ -190,24 +191,40 @@
   }
 
   /**
-   * Returns when the first of some targets accepts a request and has a permit for it; empty if all
-   * are leaving.
+   * Returns when the first of some targets is expected to accept a request and to have a permit for
+   * it; empty if all are leaving.
    */
   public synchronized Optional<Instant> opensAt(
       Collection<RelayTarget> targets, String requestId, Instant now) {
+    return firstOpening(
+        targets,
+        target -> permits.expectedAt(target.id(), target.incarnation(), requestId, now),
+        now);
+  }
+
+  /**
+   * Returns the time before which none of some targets gets a request that waits; empty if all are
+   * leaving.
+   */
+  public synchronized Optional<Instant> earliestAt(Collection<RelayTarget> targets, Instant now) {
+    return firstOpening(
+        targets, target -> permits.earliestAt(target.id(), target.incarnation(), now), now);
+  }
+
+  private Optional<Instant> firstOpening(
+      Collection<RelayTarget> targets, Function<RelayTarget, Instant> permittedAt, Instant now) {
     return targets.stream()
         .map(
             target ->
                 availability
                     .opensAt(target, now)
-                    .map(opensAt -> permittedAt(target, requestId, opensAt, now)))
+                    .map(opensAt -> later(opensAt, permittedAt.apply(target))))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder());
   }
 
-  private Instant permittedAt(RelayTarget target, String requestId, Instant opensAt, Instant now) {
-    Instant permitted = permits.expectedAt(target.id(), target.incarnation(), requestId, now);
-    return permitted.isAfter(opensAt) ? permitted : opensAt;
+  private static Instant later(Instant one, Instant other) {
+    return one.isAfter(other) ? one : other;
   }
 
   /** Records that a request waits for permits of those of some targets that are at their limits. */
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/limit/PermitIssuerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/limit/PermitIssuerTest.java
@@ -64,6 +64,16 @@
     assertEquals(1000, issue("entry-2", 1, 0, 0).waitMillis());
   }
 
+  @Test
+  void should_tell_an_entry_how_long_its_first_request_waits() {
+    limit(4, 0);
+    issue("entry-1", 3, 0, 0);
+    issue("entry-2", 1, 0, 0);
+
+    assertEquals(250, issue("entry-1", 3, 0, 0).firstWaitMillis());
+    assertEquals(1000, issue("entry-2", 1, 0, 0).firstWaitMillis());
+  }
+
   @Test
   void should_issue_permits_in_advance_from_what_no_waiting_request_needs() {
     limit(10, 0);
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/limit/TargetPermitsTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/limit/TargetPermitsTest.java
@@ -150,6 +150,16 @@
     assertEquals(first.plusMillis(500), third);
   }
 
+  @Test
+  void should_tell_before_when_no_waiting_request_gets_a_permit() {
+    limit(4, 0);
+    PermitGrant grant = PermitGrant.of(TARGET, 1, 0, 5000, 2000);
+    permits.applyAnswer(new TargetPermits.Answer(1, List.of(), List.of(grant)), at(10), at(20));
+
+    assertEquals(at(2020), permits.earliestAt(TARGET, 1, at(30)));
+    assertEquals(at(30), permits.earliestAt("target-2", 1, at(30)));
+  }
+
   @Test
   void should_learn_limits_that_other_entries_met() {
     LimitReport known = LimitReport.of(TARGET, 1, 4, 300);
@@ -183,7 +193,7 @@
   }
 
   private void grant(int count, long waitMillis, long reportedMillis, long millis) {
-    PermitGrant grant = PermitGrant.of(TARGET, 1, count, waitMillis);
+    PermitGrant grant = PermitGrant.of(TARGET, 1, count, waitMillis, waitMillis);
     permits.applyAnswer(
         new TargetPermits.Answer(1, List.of(), List.of(grant)), at(reportedMillis), at(millis));
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -223,7 +223,7 @@
   void should_choose_a_limited_target_while_there_are_permits() {
     RelayTarget preferred = choose(DRAFT).orElseThrow().target();
     limit(preferred);
-    PermitGrant grant = PermitGrant.of(preferred.id(), 1, 1, 0);
+    PermitGrant grant = PermitGrant.of(preferred.id(), 1, 1, 0, 0);
     load.permits()
         .applyAnswer(
             new TargetPermits.Answer(1, List.of(), List.of(grant)),
@@ -237,7 +237,7 @@
   void should_tell_when_a_target_at_its_limit_is_expected_to_have_a_permit() {
     RelayTarget limited = TARGETS.get(0);
     limit(limited);
-    PermitGrant grant = PermitGrant.of(limited.id(), 1, 0, 5000);
+    PermitGrant grant = PermitGrant.of(limited.id(), 1, 0, 5000, 5000);
     load.permits()
         .applyAnswer(
             new TargetPermits.Answer(1, List.of(), List.of(grant)),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -170,15 +170,31 @@
       send(choice.get(), permit.get(), now);
     } else if (queueEntry.isEmpty()) {
       enqueue(queue, now);
+    } else {
+      rejectIfTooLate(queueEntry.get(), now);
+    }
+  }
+
+  /** Rejects a queued request that no target will take before it has to leave the queue. */
+  private void rejectIfTooLate(RelayQueue.Entry<RelayExchange> queued, Instant now) {
+    List<RelayTarget> untried = untriedTargets();
+    Optional<Instant> earliest = relay.load().earliestAt(untried, now);
+    if (earliest.filter(time -> time.isAfter(queued.expiresAt())).isPresent()) {
+      relay.recordRefusedAtLimit(untried, now);
+      rejectOverloaded(
+          Duration.between(now, earliest.get()), Duration.between(now, request.deadline()));
     }
   }
 
+  private List<RelayTarget> untriedTargets() {
+    return relay.admission().routing().targetsOf(request.service().name()).stream()
+        .filter(target -> !triedTargets.contains(target.id()))
+        .toList();
+  }
+
   private void enqueue(RelayQueue<RelayExchange> queue, Instant now) {
     Duration remaining = Duration.between(now, request.deadline());
-    List<RelayTarget> untried =
-        relay.admission().routing().targetsOf(request.service().name()).stream()
-            .filter(target -> !triedTargets.contains(target.id()))
-            .toList();
+    List<RelayTarget> untried = untriedTargets();
     Optional<Instant> opensAt = relay.load().opensAt(untried, parsedRequest.id(), now);
     if (opensAt.isEmpty()) {
       reject(
