--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
@@ -62,6 +62,8 @@
         List.of(),
         List.of(),
         List.of(),
+        List.of(),
+        List.of(),
         List.of());
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -29,6 +29,8 @@
 
   private final Counter weightsOverdue = registry.counter("weights_overdue_total.target");
   private final Counter weightsOverdueRequests = registry.counter("weights_overdue_total.request");
+  private final Counter requestsRefusedAtLimit =
+      registry.counter("requests_refused_at_limit_total");
 
   private final Counter targetsLeaving = registry.counter("targets_closed_total.leaving");
   private final Counter targetsPaused = registry.counter("targets_closed_total.paused");
@@ -90,6 +92,11 @@
     weightsOverdueRequests.inc();
   }
 
+  /** Records a request that was refused since targets were at their limits of requests. */
+  public void requestRefusedAtLimit() {
+    requestsRefusedAtLimit.inc();
+  }
+
   /**
    * Records that a target stated in a response that it wants no further requests.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -18,6 +18,8 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
+import org.geraniumwharf.limit.Permit;
+import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
@@ -122,7 +124,7 @@
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
           weights.recordNamed(after, relay.now());
           weights.retainTargets(admission.routing().targetIds());
-          relay.queues.keySet().forEach(relay::wakeQueued);
+          relay.wakeAllQueued();
         });
     return relay;
   }
@@ -199,6 +201,34 @@
             .with("view", admission.routing().view().index()));
   }
 
+  /**
+   * Records the limit that a target states in a response.
+   *
+   * @param statedFrom earliest time at which the response may have been formed
+   * @param requestId request that the response answers
+   */
+  void recordLimit(RelayTarget target, RequestLimit limit, Instant statedFrom, String requestId) {
+    load.permits()
+        .recordResponse(target.id(), target.incarnation(), limit, statedFrom, now())
+        .ifPresent(change -> RelayLimits.logChange(log, change, requestId));
+  }
+
+  /** Takes a permit for a request to a target; empty if the target is at its limit. */
+  Optional<Permit> takePermit(RelayTarget target, Instant now) {
+    return load.permits().take(target.id(), target.incarnation(), now);
+  }
+
+  /** Counts a request that is refused, if some of its targets are at their limits. */
+  void recordRefusedAtLimit(List<RelayTarget> targets, Instant now) {
+    boolean isAnyAtLimit =
+        targets.stream()
+            .anyMatch(
+                target -> !load.permits().isAvailable(target.id(), target.incarnation(), now));
+    if (isAnyAtLimit) {
+      metrics.requestRefusedAtLimit();
+    }
+  }
+
   /** Records bytes of a target that belong to no response. */
   void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
     metrics.unexpectedBytes(bytes.cause().wireName());
@@ -308,6 +338,11 @@
     wakeQueued(request.service().name());
   }
 
+  /** Wakes the first queued requests of each service. */
+  void wakeAllQueued() {
+    queues.keySet().forEach(this::wakeQueued);
+  }
+
   /** Wakes the first queued requests of a service. */
   void wakeQueued(String service) {
     queues.get(service).entriesInOrder().stream()
