--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -10,12 +10,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
  * Load that this instance has in flight at each target, load that other instances reported, and the
- * health and availability of each target. Safe for use by several threads; no other lock is taken
- * while its lock is held.
+ * health and availability of each target. Safe for use by several threads; no other lock than that
+ * of the permits is taken while its lock is held.
  */
 public final class RelayLoadTable {
 
@@ -27,10 +29,12 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, TargetWork> remoteLoad = new HashMap<>();
   private final TargetAvailability availability;
+  private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
 
-  private RelayLoadTable(TargetAvailability availability) {
+  private RelayLoadTable(TargetAvailability availability, TargetPermits permits) {
     this.availability = availability;
+    this.permits = permits;
   }
 
   /**
@@ -39,7 +43,17 @@
    * @param instance name of the instance
    */
   public static RelayLoadTable forInstance(String instance) {
-    return new RelayLoadTable(TargetAvailability.forInstance(instance));
+    return create(instance, TargetPermits.create(instance, () -> {}));
+  }
+
+  /**
+   * Creates the table of an instance.
+   *
+   * @param instance name of the instance
+   * @param permits permits for targets with a limit
+   */
+  public static RelayLoadTable create(String instance, TargetPermits permits) {
+    return new RelayLoadTable(TargetAvailability.forInstance(instance), permits);
   }
 
   /**
@@ -55,6 +69,7 @@
    * @param mayBeProbed whether the target, if it is ejected, may get one request nevertheless
    * @param isAccepting whether the target has not announced in its responses that it is leaving or
    *     wants no requests
+   * @param hasPermit whether the target has no limit or a request to it is permitted now
    */
   public record Load(
       int inFlight,
@@ -64,7 +79,13 @@
       int cachedTokens,
       boolean isEjected,
       boolean mayBeProbed,
-      boolean isAccepting) {}
+      boolean isAccepting,
+      boolean hasPermit) {}
+
+  /** Returns what this instance knows of the limits of targets. */
+  public TargetPermits permits() {
+    return permits;
+  }
 
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
@@ -83,7 +104,8 @@
         cachedTokens,
         entry.health.isEjected(now),
         entry.inFlight == 0 && entry.health.mayBeProbed(now),
-        availability.isAccepting(target, entry.inFlight, now));
+        availability.isAccepting(target, entry.inFlight, now),
+        permits.isAvailable(target.id(), target.incarnation(), now));
   }
 
   /** Returns the load of this instance, as it is reported to the other instances. */
@@ -171,14 +193,49 @@
     return availability.isClosed(target, now);
   }
 
-  /** Returns when the first of some targets accepts requests; empty if all are leaving. */
-  public synchronized Optional<Instant> opensAt(Collection<RelayTarget> targets, Instant now) {
+  /**
+   * Returns when the first of some targets is expected to accept a request and to have a permit for
+   * it; empty if all are leaving.
+   */
+  public synchronized Optional<Instant> opensAt(
+      Collection<RelayTarget> targets, String requestId, Instant now) {
+    return firstOpening(
+        targets,
+        target -> permits.expectedAt(target.id(), target.incarnation(), requestId, now),
+        now);
+  }
+
+  /**
+   * Returns the time before which none of some targets gets a request that waits; empty if all are
+   * leaving.
+   */
+  public synchronized Optional<Instant> earliestAt(Collection<RelayTarget> targets, Instant now) {
+    return firstOpening(
+        targets, target -> permits.earliestAt(target.id(), target.incarnation(), now), now);
+  }
+
+  private Optional<Instant> firstOpening(
+      Collection<RelayTarget> targets, Function<RelayTarget, Instant> permittedAt, Instant now) {
     return targets.stream()
-        .map(target -> availability.opensAt(target, now))
+        .map(
+            target ->
+                availability
+                    .opensAt(target, now)
+                    .map(opensAt -> later(opensAt, permittedAt.apply(target))))
         .flatMap(Optional::stream)
         .min(Comparator.naturalOrder());
   }
 
+  private static Instant later(Instant one, Instant other) {
+    return one.isAfter(other) ? one : other;
+  }
+
+  /** Records that a request waits for permits of those of some targets that are at their limits. */
+  public void addWaiting(Collection<RelayTarget> targets, String requestId, Instant now) {
+    targets.forEach(
+        target -> permits.addWaiting(target.id(), target.incarnation(), requestId, now));
+  }
+
   /** Removes all parts cached at a target, which no longer apply once it has loaded new weights. */
   public synchronized void clearCachedParts(String target) {
     entry(target).parts.clear();
@@ -187,6 +244,7 @@
   /** Removes targets that are not in the given set, except those with requests in flight. */
   public synchronized void retainTargets(Set<String> targets, Instant now) {
     availability.retainTargets(targets, now);
+    permits.retainTargets(targets, now);
     entries
         .entrySet()
         .removeIf(entry -> entry.getValue().inFlight == 0 && !targets.contains(entry.getKey()));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -16,6 +16,8 @@
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
+import org.geraniumwharf.limit.Permit;
+import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -168,22 +170,39 @@
     if (choice.isEmpty() && isResponseStarted) {
       choice = relay.chooseIncludingEjected(request, triedTargets, now);
     }
-    if (choice.isPresent()) {
+    Optional<Permit> permit = choice.flatMap(chosen -> relay.takePermit(chosen.target(), now));
+    if (permit.isPresent()) {
       leaveQueue();
-      send(choice.get(), now);
+      send(choice.get(), permit.get(), now);
     } else if (queueEntry.isEmpty()) {
       enqueue(queue, now);
+    } else {
+      rejectIfTooLate(queueEntry.get(), now);
+    }
+  }
+
+  /** Rejects a queued request that no target will take before it has to leave the queue. */
+  private void rejectIfTooLate(RelayQueue.Entry<RelayExchange> queued, Instant now) {
+    List<RelayTarget> untried = untriedTargets(now);
+    Optional<Instant> earliest = relay.load().earliestAt(untried, now);
+    if (earliest.filter(time -> time.isAfter(queued.expiresAt())).isPresent()) {
+      relay.recordRefusedAtLimit(untried, now);
+      rejectOverloaded(
+          Duration.between(now, earliest.get()), Duration.between(now, request.deadline()));
     }
   }
 
+  private List<RelayTarget> untriedTargets(Instant now) {
+    return relay.admission().routing().targetsOf(request.service().name()).stream()
+        .filter(target -> !triedTargets.contains(target.id()))
+        .filter(target -> !relay.isOverdue(target, now))
+        .toList();
+  }
+
   private void enqueue(RelayQueue<RelayExchange> queue, Instant now) {
     Duration remaining = Duration.between(now, request.deadline());
-    List<RelayTarget> untried =
-        relay.admission().routing().targetsOf(request.service().name()).stream()
-            .filter(target -> !triedTargets.contains(target.id()))
-            .filter(target -> !relay.isOverdue(target, now))
-            .toList();
-    Optional<Instant> opensAt = relay.load().opensAt(untried, now);
+    List<RelayTarget> untried = untriedTargets(now);
+    Optional<Instant> opensAt = relay.load().opensAt(untried, parsedRequest.id(), now);
     if (opensAt.isEmpty()) {
       reject(
           ServingErrors.noTarget(request.route().name())
@@ -191,6 +210,7 @@
       return;
     }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request.deadline(), now)))) {
+      relay.recordRefusedAtLimit(untried, now);
       rejectOverloaded(Duration.between(now, opensAt.get()), remaining);
       return;
     }
@@ -201,6 +221,9 @@
       rejectOverloaded(admission.expectedWait(), remaining);
       return;
     }
+    if (opensAt.get().isAfter(now)) {
+      relay.load().addWaiting(untried, parsedRequest.id(), now);
+    }
     var unused = schedule(this::queueTimedOut, Duration.between(now, queueEntry.get().expiresAt()));
     scheduleQueueRetry();
   }
@@ -241,18 +264,19 @@
   }
 
   private void leaveQueue() {
+    relay.load().permits().removeWaiting(parsedRequest.id());
     queueEntry.ifPresent(waiting -> relay.queue(request).remove(waiting));
     queueEntry = Optional.empty();
   }
 
   // ------------------------------------------------------------------ sending
 
-  private void send(RelayPlacement.Choice choice, Instant now) {
+  private void send(RelayPlacement.Choice choice, Permit permit, Instant now) {
     RelayTarget target = choice.target();
     triedTargets.add(target.id());
     RelayLoadTable.InFlightRequest run =
         relay.load().recordSent(target, request, choice.firstTokenMillis());
-    TargetCall next = new TargetCall(this, target, run, choice);
+    TargetCall next = new TargetCall(this, target, run, choice, permit);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay, request, sendCount + 1, choice, now);
     InetSocketAddress address = ControlDirectory.parseAddress(target.address());
@@ -278,7 +302,9 @@
       deadlineExceeded();
       return;
     }
-    if (relay.load().isClosed(next.target(), now) || relay.isOverdue(next.target(), now)) {
+    if (relay.load().isClosed(next.target(), now)
+        || relay.isOverdue(next.target(), now)
+        || !relay.load().permits().isValid(next.permit(), now)) {
       caller.targetPool().release(addressOf(next), connection);
       closedWhileConnecting(next);
       return;
@@ -301,7 +327,10 @@
         TargetRequests.forward(relay.protocol(), httpRequest, forwarded), parsedRequest.id(), next);
   }
 
-  /** Places a request again whose target may get no more since its connection was asked for. */
+  /**
+   * Places a request again whose target may get no more, or whose permit expired, while the
+   * connection was opened.
+   */
   private void closedWhileConnecting(TargetCall unsent) {
     triedTargets.remove(unsent.target().id());
     if (endCall(unsent)) {
@@ -344,6 +373,9 @@
     }
     call = Optional.empty();
     Instant now = relay.now();
+    if (!endedCall.isSent()) {
+      relay.load().permits().giveBack(endedCall.permit());
+    }
     relay.load().recordEnded(endedCall.run());
     relay.requestEnded(request, now);
     return !isDone;
@@ -354,6 +386,15 @@
     relay.recordNotice(target, notice, parsedRequest.id());
   }
 
+  /**
+   * Handles the limit that the response to a call states.
+   *
+   * @param statedFrom earliest time at which the response may have been formed
+   */
+  void limitStated(TargetCall from, RequestLimit limit, Instant statedFrom) {
+    relay.recordLimit(from.target(), limit, statedFrom, parsedRequest.id());
+  }
+
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay.load().recordSuccess(endedCall.target().id());
     relay.recordSound(request);
