Check the leadership again right before an order is sent

What callers saw: nothing yet; a review of the incident of replaced weights found it. Two leaders may order one engine at a time.

Cause: a leader whose quorum confirmed it less than 0.7 s ago asks the engine for its report (up to 0.8 s), then opens a connection (up to 0.7 s) and sends the order, without a look at its leadership in between. The order could leave 2.2 s after the last confirmation, while a new leader orders from 3 s after it leads. Class: a permission that is checked once and used later.

Change: an order carries a condition that is asked once its connection is open, when only the sending is left. HttpEngineOrders and BufferingHttpClient take it to the event loop.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/EngineOrders.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.node;
 
 import java.io.IOException;
+import java.util.function.BooleanSupplier;
 import org.geraniumwharf.schema.targets.Announcement;
 
 /** Asks engines for their state and gives them orders. */
@@ -16,8 +17,10 @@
   /**
    * Gives an order and returns the status of the answer.
    *
-   * @throws IOException if there is no answer; the order may have been taken
+   * @param isAllowed asked last, when only the sending is left
+   * @throws IOException if the order is no longer allowed, or if there is no answer: then it may
+   *     have been taken
    */
-  int order(Announcement engine, OrderProtocol.WeightsOrder order)
+  int order(Announcement engine, OrderProtocol.WeightsOrder order, BooleanSupplier isAllowed)
       throws IOException, InterruptedException;
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/HttpEngineOrders.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/HttpEngineOrders.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
+import java.util.function.BooleanSupplier;
 import org.geraniumwharf.announcement.AnnouncedAddress;
 import org.geraniumwharf.internal.fleet.NumericAddress;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
@@ -32,7 +33,11 @@
   public OrderProtocol.EngineReport report(Announcement engine)
       throws IOException, InterruptedException {
     BufferingHttpClient.Response reply =
-        call(engine, protocol.report(AnnouncedAddress.hostAndPort(engine)), REPORT_TIMEOUT);
+        call(
+            engine,
+            protocol.report(AnnouncedAddress.hostAndPort(engine)),
+            REPORT_TIMEOUT,
+            () -> true);
     if (reply.status() != OK) {
       throw new IOException("the report has status " + reply.status());
     }
@@ -42,20 +47,24 @@
   }
 
   @Override
-  public int order(Announcement engine, OrderProtocol.WeightsOrder order)
+  public int order(Announcement engine, OrderProtocol.WeightsOrder order, BooleanSupplier isAllowed)
       throws IOException, InterruptedException {
-    return call(engine, protocol.order(AnnouncedAddress.hostAndPort(engine), order), ORDER_TIMEOUT)
+    return call(
+            engine,
+            protocol.order(AnnouncedAddress.hostAndPort(engine), order),
+            ORDER_TIMEOUT,
+            isAllowed)
         .status();
   }
 
   private BufferingHttpClient.Response call(
-      Announcement engine, FullHttpRequest request, Duration timeout)
+      Announcement engine, FullHttpRequest request, Duration timeout, BooleanSupplier isAllowed)
       throws IOException, InterruptedException {
     InetSocketAddress address =
         NumericAddress.parse(AnnouncedAddress.hostAndPort(engine))
             .orElseThrow(() -> new IOException("the address cannot be used"));
     try {
-      return calls.send(address, request, timeout).get();
+      return calls.sendIfAllowed(address, request, timeout, isAllowed).get();
     } catch (ExecutionException e) {
       throw new IOException(e.getCause().getMessage(), e.getCause());
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/WeightsRollout.java
@@ -327,7 +327,8 @@
         orders.order(
             engine,
             new OrderProtocol.WeightsOrder(
-                engine.id(), model, version, self, leading.term(), expectedOrders));
+                engine.id(), model, version, self, leading.term(), expectedOrders),
+            () -> isWanted(engine, leading));
     log.info(
         Event.of("weights-ordered")
             .with("target", engine.id())
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.geraniumwharf.relay.TargetNotice;
 
 /**
@@ -81,7 +82,22 @@
    */
   public CompletableFuture<Response> send(
       InetSocketAddress address, FullHttpRequest request, Duration timeout) {
-    Call<Response> call = new Call<>(address, request, timeout, response -> response, false);
+    return sendIfAllowed(address, request, timeout, () -> true);
+  }
+
+  /**
+   * Sends a request like {@link #send}, unless it is no longer allowed once the connection is open.
+   * Then nothing is sent.
+   *
+   * @param isAllowed is called on the event loop
+   */
+  public CompletableFuture<Response> sendIfAllowed(
+      InetSocketAddress address,
+      FullHttpRequest request,
+      Duration timeout,
+      BooleanSupplier isAllowed) {
+    Call<Response> call =
+        new Call<>(address, request, timeout, response -> response, isAllowed, false);
     loop.execute(() -> acquireAndSend(call));
     return call.result();
   }
@@ -96,7 +112,7 @@
       FullHttpRequest request,
       Duration timeout,
       ResponseReader<T> reader) {
-    Call<T> call = new Call<>(address, request, timeout, reader, true);
+    Call<T> call = new Call<>(address, request, timeout, reader, () -> true, true);
     loop.execute(() -> acquireAndSend(call));
     return call.result();
   }
@@ -107,6 +123,7 @@
       FullHttpRequest request,
       Duration timeout,
       ResponseReader<T> reader,
+      BooleanSupplier isAllowed,
       boolean isReusing,
       CompletableFuture<T> result) {
 
@@ -115,8 +132,9 @@
         FullHttpRequest request,
         Duration timeout,
         ResponseReader<T> reader,
+        BooleanSupplier isAllowed,
         boolean isReusing) {
-      this(address, request, timeout, reader, isReusing, new CompletableFuture<>());
+      this(address, request, timeout, reader, isAllowed, isReusing, new CompletableFuture<>());
     }
   }
 
@@ -153,6 +171,11 @@
   }
 
   private <T> void sendOver(TargetConnection connection, Call<T> call) {
+    if (!call.isAllowed().getAsBoolean()) {
+      connection.close();
+      callFailed(call, new IOException("the request is no longer allowed"));
+      return;
+    }
     ResponseCollector<T> collector = new ResponseCollector<>(connection, call);
     connection.send(call.request(), NO_ID, collector);
     var unused =
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/LeadingInstance.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/LeadingInstance.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.node;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -11,12 +12,28 @@
 import org.geraniumwharf.schema.messages.PeerMessage;
 import org.geraniumwharf.schema.messages.RaftMessage;
 
-/** A control instance that leads and takes no calls. */
-record LeadingInstance(Leadership leadership) implements ControlInstance {
+/**
+ * A control instance that leads and takes no calls.
+ *
+ * @param lastConfirmedAt when a quorum confirmed it for the last time; if empty, it always does
+ */
+record LeadingInstance(Leadership leadership, Optional<Instant> lastConfirmedAt)
+    implements ControlInstance {
+
+  LeadingInstance(Leadership leadership) {
+    this(leadership, Optional.empty());
+  }
 
   @Override
   public Optional<Leadership> leadership(Instant now) {
-    return Optional.of(leadership);
+    return Optional.of(
+        new Leadership(
+            leadership.term(),
+            leadership.since(),
+            lastConfirmedAt
+                .map(at -> Duration.between(at, now))
+                .orElseGet(leadership::confirmedAge),
+            leadership.isFirst()));
   }
 
   @Override
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/SimulatedRollout.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/SimulatedRollout.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.geraniumwharf.control.Leadership;
 import org.geraniumwharf.internal.fleet.FleetFixtures;
@@ -196,7 +197,8 @@
     }
 
     @Override
-    public int order(Announcement engine, OrderProtocol.WeightsOrder order) {
+    public int order(
+        Announcement engine, OrderProtocol.WeightsOrder order, BooleanSupplier isAllowed) {
       throw new IllegalStateException(engine.id() + " is ordered after its swap has ended");
     }
   }
