Forget excluded targets whose weights have changed

Cause: the set is of targets with their incarnation and version, and was pruned by id alone.

Change: the set keeps only targets that are announced as they were.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -123,7 +123,7 @@
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
           weights.recordNamed(after, relay.now());
-          weights.retainTargets(admission.routing().targetIds());
+          weights.retainTargets(admission.routing().targets());
           relay.wakeAllQueued();
         });
     return relay;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -124,6 +124,10 @@
     return targetsByService.getOrDefault(service, List.of());
   }
 
+  List<RelayTarget> targets() {
+    return targetsByService.values().stream().flatMap(List::stream).toList();
+  }
+
   Set<String> targetIds() {
     return targetIds;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
@@ -56,9 +56,13 @@
     }
   }
 
-  /** Forgets the targets that are gone. */
-  void retainTargets(Collection<String> ids) {
-    overdue.removeIf(target -> !ids.contains(target.id()));
+  /** Forgets the targets that are gone, or that hold other weights now. */
+  void retainTargets(Collection<RelayTarget> targets) {
+    overdue.retainAll(Set.copyOf(targets));
+  }
+
+  int overdueCount() {
+    return overdue.size();
   }
 
   @Override
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -71,6 +71,27 @@
     assertTrue(metrics.prometheusText().contains("weights_overdue_total{kind=\"target\"} 1"));
   }
 
+  /** Guards against a set that keeps an entry for each version that an engine ever held. */
+  @Test
+  void should_forget_an_excluded_target_that_holds_other_weights_now() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+    limit.isOverdue(OLD, later);
+
+    limit.retainTargets(List.of(target("engine-1", 2)));
+
+    assertEquals(0, limit.overdueCount());
+  }
+
+  @Test
+  void should_keep_an_excluded_target_that_is_still_there() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+    limit.isOverdue(OLD, later);
+
+    limit.retainTargets(List.of(OLD, NEW));
+
+    assertEquals(1, limit.overdueCount());
+  }
+
   @Test
   void should_report_that_no_target_may_be_used_only_if_there_are_any() {
     Instant later = confirmFor(Duration.ofSeconds(5));
