Send nothing to an engine whose weights nobody knows

What callers saw: nothing yet; a review of the incident of replaced weights found it. An engine that was excluded, because its weights were replaced too long ago, is back in use after one status report that lacks its weights.

Cause: a report without weights replaced the one with them, and a target without weights counted as one of version 0 that nothing can replace. Requests to it carry no expected version either. Class: the absence of a statement taken for a statement.

Evidence: ReportWithoutWeightsTest, red on the code of before in both cases: the report is answered with 200 in place of 400; an engine that never announced weights gets requests.

Change: control refuses a report without the weights that the same start of the engine announced before, unless it leaves; the earlier one holds. An entry leaves out an engine whose service lists models and that has announced no weights.

Measured: both cases pass, and RequestsOnReplacedWeightsTest and RelayedFleetTest beside them. Known to remain: only the first listed model of an engine is guarded.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -134,9 +134,13 @@
    * Takes what a target tells of itself. One that is leaving is answered only once that is
    * committed and known here, so that no daemon gives it work for long after the answer.
    *
-   * @throws ServingException if a target that leaves is not known to be leaving in time
+   * @throws ServingException if an engine lacks the weights that it announced before, or a target
+   *     that leaves is not known to be leaving in time
    */
   public void announce(Announcement announcement) throws ServingException {
+    if (lacksItsWeights(announcement)) {
+      throw ServingErrors.invalidField("loaded", "the weights announced before are missing");
+    }
     boolean isNews = registrations.accept(announcement, clock.instant());
     FleetSnapshot view = holder.current();
     if (isNews && !view.shows(announcement)) {
@@ -154,6 +158,15 @@
     }
   }
 
+  private boolean lacksItsWeights(Announcement announcement) {
+    return announcement.loaded().isEmpty()
+        && !announcement.leaving()
+        && known(announcement.id())
+            .filter(earlier -> earlier.incarnation() == announcement.incarnation())
+            .filter(earlier -> !earlier.loaded().isEmpty())
+            .isPresent();
+  }
+
   /**
    * Takes a target's word that it is gone.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -60,7 +60,7 @@
     log.warn(
         Event.of("target-unusable")
             .with("target", id)
-            .with("cause", "the announced address or version cannot be read"));
+            .with("cause", "the announced address or version is missing or cannot be read"));
   }
 
   RoutingSnapshot routing() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RoutingSnapshot.java
@@ -13,6 +13,7 @@
 import org.geraniumwharf.relay.RelayTable;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.objects.CacheStore;
+import org.geraniumwharf.schema.objects.RelayService;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.targets.Announcement;
 import org.geraniumwharf.weights.WeightsVersion;
@@ -67,7 +68,7 @@
     Optional<Long> version = weightsVersion(announcement);
     boolean isConnectable =
         NumericAddress.parse(AnnouncedAddress.hostAndPort(announcement)).isPresent();
-    if (!isConnectable || version.isEmpty()) {
+    if (!isConnectable || version.isEmpty() || lacksWeights(announcement)) {
       unusableIds.add(announcement.id());
       return;
     }
@@ -86,6 +87,16 @@
     targetIds.add(target.id());
   }
 
+  /** Returns whether nobody can tell which weights of the models of its service an engine holds. */
+  private boolean lacksWeights(Announcement announcement) {
+    return announcement.loaded().isEmpty()
+        && table
+            .service(announcement.service().orElseThrow())
+            .flatMap(RelayService::engine)
+            .filter(engine -> !engine.models().isEmpty())
+            .isPresent();
+  }
+
   /**
    * Returns the version of the first weights, which are announced as {@code model@number}: 0
    * without weights, empty if it is no number.
