Count the time before its start when an entry starts again

The engines that other entries exclude already got requests again too.

The entry adds that to what it counts itself. The time is taken from one process's own clock, from its start or from when it applied the name, and only while its view was confirmed: so it is never more than the truth, and time without control, in which no order could be given, excludes no engine early. What is told of the present stretch ends with a gap, what is told of all stretches stays. It is in the message, beside its age, not in the view, so nothing stores it; the entry ties it to its own clock on arrival and takes it from its first view only.

Each control instance counts for itself rather than the leader for all: a change of the leader loses nothing then, and no message between them is needed. One that has started lately tells less.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -41,7 +41,10 @@
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.EntryKind;
 import org.geraniumwharf.schema.state.LogEntry;
+import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.StateSnapshot;
+import org.geraniumwharf.time.ConfirmedTime;
+import org.geraniumwharf.weights.NamedTimes;
 
 /**
  * Runs one replica on one thread. Inputs are queued and processed in batches, so that each batch
@@ -58,6 +61,9 @@
   private static final long MIN_SNAPSHOT_INTERVAL_BYTES = 4L << 20;
   private static final Duration SHUTDOWN_TRANSFER_TIMEOUT = Duration.ofSeconds(1);
 
+  /** Age of a view that was never confirmed, or so long ago that it makes no difference. */
+  private static final Duration NEVER_CONFIRMED = Duration.ofDays(1);
+
   private final ControlOptions options;
   private final RaftCore core;
   private final ReplicaStorage storage;
@@ -65,6 +71,7 @@
   private final EventLog log;
   private final InstantSource clock;
   private final ControlState state = ControlState.empty();
+  private final NamedTimes namedTimes = NamedTimes.create();
   private final PendingCalls pendingCalls = new PendingCalls();
   private final SnapshotSchedule snapshots;
   private final LeaderDuties duties;
@@ -89,9 +96,13 @@
   private Instant nextFreshness = Instant.MIN;
 
   /** Age of the view as of {@link #viewConfirmedAgeAt}, when all that was committed was applied. */
-  private Duration viewConfirmedAge = Duration.ofDays(1);
+  private Duration viewConfirmedAge = NEVER_CONFIRMED;
 
   private Instant viewConfirmedAgeAt;
+
+  /** Time for which the view has been confirmed; empty if it never was. */
+  private Optional<ConfirmedTime> confirmedTime = Optional.empty();
+
   private Role lastRole = Role.FOLLOWER;
   private Optional<String> lastLeader = Optional.empty();
 
@@ -112,7 +123,9 @@
     this.snapshots = SnapshotSchedule.of(options.snapshotEntries(), MIN_SNAPSHOT_INTERVAL_BYTES);
     this.duties = new LeaderDuties(options, log);
     this.placement = new PlacementDuty(options, log);
-    this.viewStream = new ViewStream(state::view, this::memberNames);
+    this.viewStream =
+        new ViewStream(
+            state::view, () -> namedTimes.atLastConfirmation(confirmedTime), this::memberNames);
     this.callHandler =
         new CallHandler(
             options,
@@ -313,12 +326,23 @@
   private void sendFreshnessIfDue(Instant now) {
     viewConfirmedAge = core.confirmedAge(now);
     viewConfirmedAgeAt = now;
+    if (viewConfirmedAge.compareTo(NEVER_CONFIRMED) < 0) {
+      recordConfirmed(now.minus(viewConfirmedAge));
+    }
     if (!now.isBefore(nextFreshness)) {
       nextFreshness = now.plus(FRESHNESS_INTERVAL);
       viewStream.sendFreshness(state.index(), viewAgeMillis(now));
     }
   }
 
+  private void recordConfirmed(Instant at) {
+    confirmedTime =
+        Optional.of(
+            confirmedTime
+                .map(time -> time.confirmed(at))
+                .orElseGet(() -> ConfirmedTime.startingAt(at)));
+  }
+
   private void processAllOutput() throws InterruptedException {
     RaftOutput output = core.takeOutput();
     while (!output.isEmpty()) {
@@ -380,6 +404,7 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
+    recordNamed(state.weights());
     snapshots.recordSaved(snapshot.index(), snapshot.data().length);
     pendingCalls.failEntriesUpTo(snapshot.index());
     viewStream.reset(snapshot.index(), viewAgeMillis(clock.instant()));
@@ -394,10 +419,18 @@
     }
     ControlState.ApplyResult applied = state.apply(entry.index(), decode(entry));
     long age = viewAgeMillis(clock.instant());
+    applied.change().ifPresent(change -> recordNamed(change.weights()));
     applied.change().ifPresent(change -> viewStream.sendChange(change, age));
     pendingCalls.completeEntry(entry.index(), entry.term(), applied.answer());
   }
 
+  private void recordNamed(List<NamedWeights> weights) {
+    Instant now = clock.instant();
+    for (NamedWeights named : weights) {
+      namedTimes.recordNamed(named.model(), named.version(), confirmedTime, now);
+    }
+  }
+
   private static Command decode(LogEntry entry) {
     try {
       return Codec.messagePack().decode(entry.payload(), Command.class);
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.schema.view.ViewChange;
 
 /**
@@ -23,6 +24,7 @@
   private static final int MAX_RETAINED_CHANGES = 4096;
 
   private final Supplier<FleetView> view;
+  private final Supplier<List<NamedDuration>> named;
   private final Supplier<List<String>> members;
   private final Deque<ViewChange> retainedChanges = new ArrayDeque<>();
   private final List<ViewSink> watchers = new ArrayList<>();
@@ -30,8 +32,17 @@
   private long retainedAfter;
   private long index;
 
-  ViewStream(Supplier<FleetView> view, Supplier<List<String>> members) {
+  /**
+   * Creates a stream without watchers.
+   *
+   * @param named how long versions of weights had been named when the view was last confirmed
+   */
+  ViewStream(
+      Supplier<FleetView> view,
+      Supplier<List<NamedDuration>> named,
+      Supplier<List<String>> members) {
     this.view = view;
+    this.named = named;
     this.members = members;
   }
 
@@ -52,7 +63,7 @@
 
   private boolean sendMissedChanges(long afterIndex, ViewSink sink, long ageMillis) {
     if (afterIndex == 0 || afterIndex < retainedAfter) {
-      return sink.offer(WatchSnapshot.of(view.get(), ageMillis));
+      return sink.offer(snapshot(ageMillis));
     }
     for (ViewChange change : retainedChanges) {
       if (change.index() > afterIndex && !sink.offer(WatchDelta.of(change, ageMillis))) {
@@ -98,7 +109,11 @@
     index = newIndex;
     retainedAfter = newIndex;
     retainedChanges.clear();
-    watchers.removeIf(sink -> !sink.offer(WatchSnapshot.of(view.get(), ageMillis)));
+    watchers.removeIf(sink -> !sink.offer(snapshot(ageMillis)));
+  }
+
+  private WatchSnapshot snapshot(long ageMillis) {
+    return WatchSnapshot.of(view.get(), ageMillis, named.get());
   }
 
   private record WaitingWatcher(long afterIndex, ViewSink sink) {}
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -31,6 +31,7 @@
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.NameWeightsCall;
 import org.geraniumwharf.schema.messages.NotLeader;
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishCall;
@@ -41,6 +42,7 @@
 import org.geraniumwharf.schema.state.HardState;
 import org.geraniumwharf.schema.state.LogEntry;
 import org.geraniumwharf.schema.state.Membership;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -60,6 +62,9 @@
           1000,
           ControlOptions.MEMBERS_BY_OPERATORS);
 
+  /** Interval of the replica's ticks and heartbeats, and room for a busy machine. */
+  private static final long MAX_CONFIRMATION_AGE_MILLIS = 250;
+
   private static final long CALL_INTERVAL_NANOS = 20_000;
 
   private final FakeStorage storage = new FakeStorage();
@@ -121,6 +126,26 @@
     assertEquals(2, ((WatchDelta) next).change().configurationVersion());
   }
 
+  @Test
+  void should_tell_a_new_watcher_how_long_weights_have_been_named() throws Exception {
+    publishUntilLeading(0, "first");
+    Instant before = Instant.now();
+    runner.call(NameWeightsCall.of("model", 2)).get(30, SECONDS);
+    Instant named = Instant.now();
+    LockSupport.parkNanos(Duration.ofMillis(300).toNanos());
+
+    BlockingQueue<ControlAnswer> stream = new LinkedBlockingQueue<>();
+    runner.watch(0, stream::offer);
+    WatchSnapshot snapshot = (WatchSnapshot) stream.poll(30, SECONDS);
+
+    NamedDuration told = snapshot.named().get(0);
+    long most = Duration.between(before, Instant.now()).toMillis();
+    long least = Duration.between(named, Instant.now()).toMillis() - MAX_CONFIRMATION_AGE_MILLIS;
+    assertEquals(2, told.version());
+    assertTrue(told.stretchMillis() <= most && told.stretchMillis() >= least, "" + told);
+    assertEquals(told.stretchMillis(), told.totalMillis());
+  }
+
   @Test
   void should_save_a_snapshot_after_the_set_number_of_entries() throws Exception {
     publishUntilLeading(0, "publish-0");
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
@@ -42,6 +42,11 @@
     return last;
   }
 
+  /** Returns whether there was no gap since the first confirmation. */
+  public boolean isInFirstStretch() {
+    return earlierStretches.isZero();
+  }
+
   /** Returns the part of the present stretch that lies after a time. */
   public Duration inStretchSince(Instant from, Instant now) {
     Instant start = from.isAfter(stretchStart) ? from : stretchStart;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.time.ConfirmedTime;
 
 /**
@@ -50,14 +51,47 @@
    *
    * @param notBefore time before which it cannot have been named
    * @param confirmedBefore time for which the view had been confirmed then
+   * @param toldInStretch time that was told to lie before, in the first stretch
+   * @param toldInTotal time that was told to lie before, in all stretches
    */
-  private record Name(long version, Instant notBefore, Duration confirmedBefore) {
+  private record Name(
+      long version,
+      Instant notBefore,
+      Duration confirmedBefore,
+      Duration toldInStretch,
+      Duration toldInTotal) {
 
     /** A view that was confirmed without the version shows that it was named later. */
     static Name of(long version, Optional<ConfirmedTime> confirmed, Instant now) {
       Instant notBefore = confirmed.map(ConfirmedTime::last).orElse(now);
       return new Name(
-          version, notBefore, confirmed.map(time -> time.total(notBefore)).orElse(Duration.ZERO));
+          version, notBefore, total(confirmed, notBefore), Duration.ZERO, Duration.ZERO);
+    }
+
+    static Name told(NamedDuration named, Optional<ConfirmedTime> confirmed, Instant at) {
+      return new Name(
+          named.version(),
+          at,
+          total(confirmed, at),
+          Duration.ofMillis(named.stretchMillis()),
+          Duration.ofMillis(named.totalMillis()));
+    }
+
+    private static Duration total(Optional<ConfirmedTime> confirmed, Instant at) {
+      return confirmed.map(time -> time.total(at)).orElse(Duration.ZERO);
+    }
+
+    Name withVersion(long newVersion) {
+      return new Name(newVersion, notBefore, confirmedBefore, toldInStretch, toldInTotal);
+    }
+
+    Duration inStretch(ConfirmedTime confirmed, Instant now) {
+      Duration counted = confirmed.inStretchSince(notBefore, now);
+      return confirmed.isInFirstStretch() ? counted.plus(toldInStretch) : counted;
+    }
+
+    Duration inTotal(ConfirmedTime confirmed, Instant now) {
+      return confirmed.total(now).minus(confirmedBefore).plus(toldInTotal);
     }
   }
 
@@ -81,17 +115,30 @@
    */
   public synchronized void recordNamed(
       String model, long version, Optional<ConfirmedTime> confirmed, Instant now) {
-    ModelNames names = models.computeIfAbsent(model, name -> new ModelNames());
-    if (version <= names.newest) {
+    record(model, Name.of(version, confirmed, now));
+  }
+
+  /**
+   * Records a version that had been named before this process received its first view.
+   *
+   * @param confirmed confirmations of earlier views; empty if there was none
+   * @param at time at which the first view was confirmed, and until which the duration was counted
+   */
+  public synchronized void recordNamedBefore(
+      NamedDuration named, Optional<ConfirmedTime> confirmed, Instant at) {
+    record(named.model(), Name.told(named, confirmed, at));
+  }
+
+  private void record(String model, Name name) {
+    ModelNames names = models.computeIfAbsent(model, newModel -> new ModelNames());
+    if (name.version() <= names.newest) {
       return;
     }
-    names.newest = version;
-    if (names.pending.size() < MAX_NAMES) {
-      names.pending.add(Name.of(version, confirmed, now));
-    } else {
-      Name last = names.pending.removeLast();
-      names.pending.add(new Name(version, last.notBefore(), last.confirmedBefore()));
-    }
+    names.newest = name.version();
+    names.pending.add(
+        names.pending.size() < MAX_NAMES
+            ? name
+            : names.pending.removeLast().withVersion(name.version()));
   }
 
   /**
@@ -124,8 +171,8 @@
   }
 
   private Duration timeLeft(Name name, ConfirmedTime confirmed, Instant now) {
-    Duration leftInStretch = inStretch.minus(confirmed.inStretchSince(name.notBefore(), now));
-    Duration leftInTotal = inTotal.minus(confirmed.total(now).minus(name.confirmedBefore()));
+    Duration leftInStretch = inStretch.minus(name.inStretch(confirmed, now));
+    Duration leftInTotal = inTotal.minus(name.inTotal(confirmed, now));
     return leftInStretch.compareTo(leftInTotal) < 0 ? leftInStretch : leftInTotal;
   }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.Random;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.time.ConfirmedTime;
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.RepetitionInfo;
@@ -116,6 +117,42 @@
     assertTrue(isOverdue(1));
   }
 
+  @Test
+  void should_add_the_time_that_the_first_view_told() {
+    weights.recordNamedBefore(NamedDuration.of(MODEL, 2, 3000, 3000), confirmed, now);
+    name(2);
+    confirmed = Optional.of(ConfirmedTime.startingAt(now));
+
+    confirmFor(Duration.ofSeconds(1));
+
+    assertEquals(Duration.ofMillis(500), timeLeft(1).orElseThrow());
+    assertTrue(timeLeft(2).isEmpty());
+  }
+
+  // Guards against an exclusion that comes too early, since the bound counts a stretch anew.
+  @Test
+  void should_add_only_the_total_that_was_told_after_a_gap() {
+    weights.recordNamedBefore(NamedDuration.of(MODEL, 2, 2000, 2000), confirmed, now);
+    confirmed = Optional.of(ConfirmedTime.startingAt(now));
+    now = now.plusSeconds(10);
+
+    confirmFor(Duration.ofMillis(2500));
+
+    assertFalse(isOverdue(1));
+    confirmFor(Duration.ofMillis(600));
+    assertTrue(isOverdue(1));
+  }
+
+  @Test
+  void should_limit_each_version_from_the_first_newer_name_that_was_told() {
+    weights.recordNamedBefore(NamedDuration.of(MODEL, 2, 5000, 5000), confirmed, now);
+    weights.recordNamedBefore(NamedDuration.of(MODEL, 3, 1000, 1000), confirmed, now);
+    confirmed = Optional.of(ConfirmedTime.startingAt(now));
+
+    assertTrue(isOverdue(1));
+    assertEquals(Duration.ofMillis(3500), timeLeft(2).orElseThrow());
+  }
+
   // Guards against names without end that fill the memory or free weights from their limit.
   @Test
   void should_limit_weights_among_more_names_than_are_counted_apart() {
@@ -158,6 +195,40 @@
     }
   }
 
+  // An entry that starts again takes what one that stayed, a control instance, tells.
+  @RepeatedTest(300)
+  void should_count_no_more_and_hardly_less_after_a_start_than_without(RepetitionInfo info) {
+    Random random = new Random(info.getCurrentRepetition());
+    NamedTimes told = NamedTimes.create();
+    confirmFor(Duration.ofSeconds(1));
+    name(2);
+    told.recordNamed(MODEL, 2, confirmed, now);
+    confirmFor(Duration.ofMillis(100L * random.nextInt(30)));
+    if (random.nextBoolean()) {
+      now = now.plusMillis(2100 + random.nextInt(3000));
+    }
+    confirmFor(Duration.ofMillis(100L * random.nextInt(30)));
+
+    Instant at = confirmed.orElseThrow().last();
+    ReplacedWeights started =
+        ReplacedWeights.within(new ReplacedWeights.Bounds(IN_STRETCH, IN_TOTAL));
+    told.atLastConfirmation(confirmed)
+        .forEach(named -> started.recordNamedBefore(named, Optional.empty(), at));
+    started.recordNamed(MODEL, 2, Optional.empty(), now);
+    Optional<ConfirmedTime> since = Optional.of(ConfirmedTime.startingAt(at));
+
+    for (int step = 0; step < 60; step++) {
+      confirmFor(STEP);
+      since = since.map(time -> time.confirmed(now));
+      Duration left = timeLeft(1).orElseThrow();
+      Duration leftAfterStart = started.timeLeft(MODEL, 1, since, now).orElseThrow();
+      Duration difference = leftAfterStart.minus(left);
+      String seed = "seed " + info.getCurrentRepetition() + " " + difference;
+      assertFalse(difference.isNegative(), seed);
+      assertTrue(difference.compareTo(STEP) <= 0, seed);
+    }
+  }
+
   private void name(long version) {
     weights.recordNamed(MODEL, version, confirmed, now);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.time.ConfirmedTime;
 
 /**
@@ -27,6 +28,8 @@
   private volatile String watched = "none";
   private volatile Origin origin = new Origin("none", Duration.ZERO, Optional.empty());
 
+  private volatile NamedBefore namedBefore = new NamedBefore(List.of(), Instant.MIN);
+
   private FleetViewHolder() {}
 
   public static FleetViewHolder create() {
@@ -65,6 +68,11 @@
     return confirmedTime;
   }
 
+  /** Returns what the first view told of versions of weights that had been named before it. */
+  public NamedBefore namedBefore() {
+    return namedBefore;
+  }
+
   /**
    * Calls a listener with the old and the new view after each change. A listener that fails keeps
    * neither the view nor the other listeners from the change.
@@ -77,6 +85,7 @@
   synchronized Received apply(ControlAnswer message, Instant now) {
     if (message instanceof WatchSnapshot snapshot) {
       if (snapshot.view().index() > current.index()) {
+        recordNamedBefore(snapshot, now);
         replace(FleetSnapshot.of(snapshot.view()), snapshot.ageMillis(), now);
       }
       return received(snapshot.view().index(), snapshot.ageMillis(), now);
@@ -96,6 +105,13 @@
     return new Received(0, Duration.ofDays(1));
   }
 
+  /** Only the first view tells of names of which no view before it can. */
+  private void recordNamedBefore(WatchSnapshot snapshot, Instant now) {
+    if (current.index() == 0) {
+      namedBefore = new NamedBefore(snapshot.named(), now.minusMillis(snapshot.ageMillis()));
+    }
+  }
+
   private void replace(FleetSnapshot next, long ageMillis, Instant now) {
     origin = new Origin(watched, Duration.ofMillis(ageMillis), sinceConfirmed(now));
     FleetSnapshot before = current;
@@ -136,6 +152,14 @@
    */
   public record Origin(String instance, Duration age, Optional<Duration> sinceConfirmed) {}
 
+  /**
+   * Versions of weights that had been named before the first view.
+   *
+   * @param durations for how long, when the view was confirmed
+   * @param confirmedAt time at which it was confirmed, by the own clock
+   */
+  public record NamedBefore(List<NamedDuration> durations, Instant confirmedAt) {}
+
   /** Index and age that a message told. */
   record Received(long index, Duration age) {}
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
@@ -15,6 +15,7 @@
 import org.geraniumwharf.relay.BeginLimit;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.weights.ReplacedWeights;
 
 /**
@@ -51,6 +52,10 @@
 
   /** Takes the weights that a new view names. */
   void recordNamed(FleetSnapshot view, Instant now) {
+    FleetViewHolder.NamedBefore before = holder.namedBefore();
+    for (NamedDuration named : before.durations()) {
+      replaced.recordNamedBefore(named, holder.confirmedTime(), before.confirmedAt());
+    }
     for (NamedWeights named : view.namedWeights()) {
       replaced.recordNamed(named.model(), named.version(), holder.confirmedTime(), now);
     }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -7,6 +7,7 @@
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 
 /** Views for tests of other packages. */
 public final class FleetFixtures {
@@ -18,16 +19,27 @@
       List<PublishedObject> objects, List<TargetRecord> targets, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0), now);
+        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0, List.of()),
+        now);
     return holder;
   }
 
   /** Returns a holder with a fresh view of engines and of the weights that operators name. */
   public static FleetViewHolder holderOfWeights(
       List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    return holderOfWeights(targets, weights, List.of(), now);
+  }
+
+  /** Returns a holder with a first view that tells how long weights had been named. */
+  public static FleetViewHolder holderOfWeights(
+      List<TargetRecord> targets,
+      List<NamedWeights> weights,
+      List<NamedDuration> named,
+      Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0), now);
+        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, named),
+        now);
     return holder;
   }
 
@@ -36,6 +48,8 @@
       FleetViewHolder holder, List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     long index = holder.current().index() + 1;
     holder.apply(
-        WatchSnapshot.of(FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0), now);
+        WatchSnapshot.of(
+            FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0, List.of()),
+        now);
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -14,6 +14,7 @@
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.Service;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.schema.view.ViewChange;
 import org.junit.jupiter.api.Test;
 
@@ -75,6 +76,19 @@
     assertTrue(readiness.isReady(NOW));
   }
 
+  @Test
+  void should_keep_what_the_first_view_told_of_names_and_the_time_of_its_confirmation() {
+    List<NamedDuration> told = List.of(NamedDuration.of("model", 2, 3000, 3000));
+    holder.apply(snapshot(10, 4).withNamed(told).withAgeMillis(400), NOW);
+
+    holder.apply(
+        snapshot(12, 5).withNamed(List.of(NamedDuration.of("model", 2, 9000, 9000))),
+        NOW.plusSeconds(6));
+
+    assertEquals(told, holder.namedBefore().durations());
+    assertEquals(NOW.minusMillis(400), holder.namedBefore().confirmedAt());
+  }
+
   @Test
   void should_turn_unready_when_the_view_is_stale_for_the_lease() {
     holder.apply(snapshot(10, 4), NOW);
@@ -100,7 +114,7 @@
 
   private static WatchSnapshot snapshot(long index, long version) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0);
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0, List.of());
   }
 
   private static ViewChange change(long index, long version) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
@@ -124,7 +124,7 @@
   @Override
   public void watch(long afterIndex, ViewSink sink) {
     FleetView view = FleetView.of(index(), version, List.of(), List.of(), List.of(), List.of());
-    if (sink.offer(WatchSnapshot.of(view, ageMillis()))) {
+    if (sink.offer(WatchSnapshot.of(view, ageMillis(), List.of()))) {
       watchers.add(sink);
     }
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
@@ -82,7 +82,9 @@
 
   private static WatchSnapshot snapshot(long index, long version, long ageMillis) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), ageMillis);
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
+        ageMillis,
+        List.of());
   }
 
   private record ListedLog(List<String> lines) implements EventLog {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +44,21 @@
     assertFalse(limit.isOverdue(PLAIN, later));
   }
 
+  @Test
+  void should_add_the_time_before_the_start_that_the_first_view_told() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfWeights(
+            List.of(), List.of(named(2)), List.of(NamedDuration.of("model", 2, 3000, 3000)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+
+    assertEquals(
+        Optional.of(Duration.ofMillis(500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(1)));
+    assertTrue(limitAfterStart.isOverdue(OLD, NOW.plusMillis(1500)));
+    assertFalse(limitAfterStart.isOverdue(NEW, NOW.plusMillis(1500)));
+  }
+
   @Test
   void should_take_the_names_of_later_views() {
     FleetFixtures.replaceWeights(holder, List.of(), List.of(named(3)), NOW.plusSeconds(1));
