Refuse a total bound of replaced weights that leaves no time

Both bounds of replaced weights are reduced by a quarter of the one for a stretch. With a total at or below that quarter the time left was zero or negative from the start, and the settings were taken without a word: an entry would have excluded every engine as soon as a newer version was named, and refused its requests.

The settings are refused at the start now, with section, key, the least value and the one found, beside the other faults. NodeSettingsLoaderTest: red before (nothing was thrown for 6000 and 1500 ms), 5 of 5 with the change; ReplacedWeightsTest 612 of 612.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
@@ -41,7 +41,7 @@
     public static final Bounds DEFAULT = new Bounds(Duration.ofSeconds(6), Duration.ofMillis(8400));
 
     /** Returns the time that a request may take to its first token longer than expected. */
-    private Duration margin() {
+    public Duration margin() {
       return inStretch.dividedBy(4);
     }
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -94,9 +94,18 @@
 
   private ReplacedWeights.Bounds replacedWeights() {
     ReplacedWeights.Bounds defaults = ReplacedWeights.Bounds.DEFAULT;
-    return new ReplacedWeights.Bounds(
-        optionalMillis("relay", "replaced-weights-millis", defaults.inStretch()),
-        optionalMillis("relay", "replaced-weights-total-millis", defaults.inTotal()));
+    ReplacedWeights.Bounds bounds =
+        new ReplacedWeights.Bounds(
+            optionalMillis("relay", "replaced-weights-millis", defaults.inStretch()),
+            optionalMillis("relay", "replaced-weights-total-millis", defaults.inTotal()));
+    if (bounds.inTotal().compareTo(bounds.margin()) <= 0) {
+      faults.add(
+          String.format(
+              "[relay] replaced-weights-total-millis: must be above a quarter of"
+                  + " replaced-weights-millis, %d ms, but is %d ms",
+              bounds.margin().toMillis(), bounds.inTotal().toMillis()));
+    }
+    return bounds;
   }
 
   private Optional<String> optional(String section, String key) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
@@ -41,6 +42,32 @@
         InvalidSettingsException.class, () -> load("replaced-weights-total-millis = soon\n"));
   }
 
+  // Guards against a bound whose margin leaves nothing, so that every target is excluded at once.
+  @Test
+  void should_refuse_a_total_that_is_not_above_a_quarter_of_the_bound_of_a_stretch() {
+    String equal = "replaced-weights-millis = 6000\nreplaced-weights-total-millis = 1500\n";
+
+    InvalidSettingsException refused =
+        assertThrows(InvalidSettingsException.class, () -> load(equal));
+
+    assertEquals(
+        List.of(
+            "[relay] replaced-weights-total-millis: must be above a quarter of"
+                + " replaced-weights-millis, 1500 ms, but is 1500 ms"),
+        refused.faults());
+    assertThrows(
+        InvalidSettingsException.class, () -> load("replaced-weights-total-millis = 1000\n"));
+    assertThrows(InvalidSettingsException.class, () -> load("replaced-weights-millis = 40000\n"));
+  }
+
+  @Test
+  void should_take_a_total_just_above_a_quarter_of_the_bound_of_a_stretch() throws Exception {
+    NodeSettings settings =
+        load("replaced-weights-millis = 6000\nreplaced-weights-total-millis = 1501\n");
+
+    assertEquals(Duration.ofMillis(1501), settings.replacedWeights().inTotal());
+  }
+
   private NodeSettings load(String relayLines) throws IOException, InvalidSettingsException {
     Path file = folder.resolve("node.ini");
     Files.writeString(
