Count no view as confirmed of a control instance without a leader

That is too early, and can cost service after a loss of all processes during a rollout.

WeightsLimitTest: red before (overdue after 20 s of such messages), 6 of 6 with the change.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -20,6 +20,9 @@
  */
 public final class FleetViewHolder {
 
+  /** Least age that a control instance states which has had no leader since its start. */
+  private static final long NEVER_CONFIRMED_MILLIS = Duration.ofDays(1).toMillis();
+
   private final List<BiConsumer<FleetSnapshot, FleetSnapshot>> listeners =
       new CopyOnWriteArrayList<>();
   private volatile FleetSnapshot current = FleetSnapshot.empty();
@@ -133,15 +136,21 @@
     Instant confirmed = now.minusMillis(ageMillis);
     if (index >= current.index() && confirmed.isAfter(freshAt)) {
       freshAt = confirmed;
-      confirmedTime =
-          Optional.of(
-              confirmedTime
-                  .map(time -> time.confirmed(confirmed))
-                  .orElseGet(() -> ConfirmedTime.startingAt(confirmed)));
+      if (ageMillis < NEVER_CONFIRMED_MILLIS) {
+        recordConfirmed(confirmed);
+      }
     }
     return new Received(index, Duration.ofMillis(ageMillis));
   }
 
+  private void recordConfirmed(Instant confirmed) {
+    confirmedTime =
+        Optional.of(
+            confirmedTime
+                .map(time -> time.confirmed(confirmed))
+                .orElseGet(() -> ConfirmedTime.startingAt(confirmed)));
+  }
+
   /**
    * Where a change of the view came from.
    *
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.fleet;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
 import org.geraniumwharf.schema.state.NamedWeights;
@@ -12,6 +14,9 @@
 /** Views for tests of other packages. */
 public final class FleetFixtures {
 
+  /** Age that a control instance states which has had no leader since its start. */
+  private static final long NEVER_CONFIRMED_MILLIS = Duration.ofDays(1).toMillis();
+
   private FleetFixtures() {}
 
   /** Returns a holder with a fresh view. */
@@ -52,4 +57,19 @@
             FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0, List.of()),
         now);
   }
+
+  /** Returns a holder with a view of a control instance that has had no leader since its start. */
+  public static FleetViewHolder holderOfNeverConfirmed(
+      List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    FleetViewHolder holder = FleetViewHolder.create();
+    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights);
+    holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, List.of()), now);
+    return holder;
+  }
+
+  /** Tells a holder that its view is still the newest of a control instance without a leader. */
+  public static void tellNeverConfirmed(FleetViewHolder holder, Instant now) {
+    holder.apply(
+        WatchFreshness.of(holder.current().index(), NEVER_CONFIRMED_MILLIS, List.of()), now);
+  }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -96,6 +96,24 @@
     assertFalse(limit.isEveryOverdue(List.of(), later));
   }
 
+  // Guards against engines that are excluded before any order can have been given.
+  @Test
+  void should_not_count_a_view_that_was_never_confirmed() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfNeverConfirmed(List.of(), List.of(named(2)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+    for (Instant at = NOW; at.isBefore(NOW.plusSeconds(20)); at = at.plusMillis(250)) {
+      FleetFixtures.tellNeverConfirmed(started, at);
+    }
+    FleetFixtures.replaceWeights(started, List.of(), List.of(named(2)), NOW.plusSeconds(20));
+
+    assertFalse(limitAfterStart.isOverdue(OLD, NOW.plusSeconds(20)));
+    assertEquals(
+        Optional.of(Duration.ofMillis(3500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(21)));
+  }
+
   private Instant confirmFor(Duration duration) {
     Instant end = NOW.plus(duration);
     for (Instant at = NOW; !at.isAfter(end); at = at.plusMillis(500)) {
