--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -1,16 +1,22 @@
 package org.geraniumwharf.internal.fleet;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 
 /** Views for tests of other packages. */
 public final class FleetFixtures {
 
+  /** Age that a control instance states which has had no leader since its start. */
+  private static final long NEVER_CONFIRMED_MILLIS = Duration.ofDays(1).toMillis();
+
   private FleetFixtures() {}
 
   /** Returns a holder with a fresh view. */
@@ -18,16 +24,27 @@
       List<PublishedObject> objects, List<TargetRecord> targets, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0), now);
+        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0, List.of()),
+        now);
     return holder;
   }
 
   /** Returns a holder with a fresh view of engines and of the weights that operators name. */
   public static FleetViewHolder holderOfWeights(
       List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    return holderOfWeights(targets, weights, List.of(), now);
+  }
+
+  /** Returns a holder with a first view that tells how long weights had been named. */
+  public static FleetViewHolder holderOfWeights(
+      List<TargetRecord> targets,
+      List<NamedWeights> weights,
+      List<NamedDuration> named,
+      Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0), now);
+        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, named),
+        now);
     return holder;
   }
 
@@ -36,6 +53,23 @@
       FleetViewHolder holder, List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     long index = holder.current().index() + 1;
     holder.apply(
-        WatchSnapshot.of(FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0), now);
+        WatchSnapshot.of(
+            FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0, List.of()),
+        now);
+  }
+
+  /** Returns a holder with a view of a control instance that has had no leader since its start. */
+  public static FleetViewHolder holderOfNeverConfirmed(
+      List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
+    FleetViewHolder holder = FleetViewHolder.create();
+    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights);
+    holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, List.of()), now);
+    return holder;
+  }
+
+  /** Tells a holder that its view is still the newest of a control instance without a leader. */
+  public static void tellNeverConfirmed(FleetViewHolder holder, Instant now) {
+    holder.apply(
+        WatchFreshness.of(holder.current().index(), NEVER_CONFIRMED_MILLIS, List.of()), now);
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +44,21 @@
     assertFalse(limit.isOverdue(PLAIN, later));
   }
 
+  @Test
+  void should_add_the_time_before_the_start_that_the_first_view_told() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfWeights(
+            List.of(), List.of(named(2)), List.of(NamedDuration.of("model", 2, 3000, 3000)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+
+    assertEquals(
+        Optional.of(Duration.ofMillis(500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(1)));
+    assertTrue(limitAfterStart.isOverdue(OLD, NOW.plusMillis(1500)));
+    assertFalse(limitAfterStart.isOverdue(NEW, NOW.plusMillis(1500)));
+  }
+
   @Test
   void should_take_the_names_of_later_views() {
     FleetFixtures.replaceWeights(holder, List.of(), List.of(named(3)), NOW.plusSeconds(1));
@@ -101,6 +117,24 @@
     assertFalse(limit.isEveryOverdue(List.of(), later));
   }
 
+  // Guards against engines that are excluded before any order can have been given.
+  @Test
+  void should_not_count_a_view_that_was_never_confirmed() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfNeverConfirmed(List.of(), List.of(named(2)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+    for (Instant at = NOW; at.isBefore(NOW.plusSeconds(20)); at = at.plusMillis(250)) {
+      FleetFixtures.tellNeverConfirmed(started, at);
+    }
+    FleetFixtures.replaceWeights(started, List.of(), List.of(named(2)), NOW.plusSeconds(20));
+
+    assertFalse(limitAfterStart.isOverdue(OLD, NOW.plusSeconds(20)));
+    assertEquals(
+        Optional.of(Duration.ofMillis(3500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(21)));
+  }
+
   private Instant confirmFor(Duration duration) {
     Instant end = NOW.plus(duration);
     for (Instant at = NOW; !at.isAfter(end); at = at.plusMillis(500)) {
