Let sound requests under way at a crash not get the part quarantined that all share

What callers saw: PromptThatCrashesTargetsTest failed for the second time, "0 of 443 were served": after four crashes under `crashing`, both entries refused `first`, which is in every prompt, for ten minutes.

Cause: a decision on some of several reports of one event. An entry leaves the parts out of its evidence that it had answered completely in the last 10 s, and names all if it had answered all. So the request with the cause blames [crashing], a sound one under way [first, context-7], parts proven a moment ago, and both counted alike. Depth, by which a part is made to wait for a deeper one, is the place in that evidence: `crashing` alone has the same as `first`. A sound context, being deeper, could even make `crashing` wait.

Evidence: the log of the failed run, which had the entries' crashes and quarantine. Replayed in its order at two entries and a leader, the code of before quarantines [first], expected [crashing] (PartQuarantineTest.should_not_refuse_the_shared_part_*, three tests red).

Change: evidence says whether all its parts were proven (`proven` of CrashEvidence, default false). A crash shortly after a proof of a part counts against the part 1.5 s after the first report of the crash, and not while a part without a proof had it and another crash. Such a part needs four crashes; at the fifth that no quarantined part explains it is quarantined whatever others had. A proof at one entry holds for the reports of all. Such a part makes no other wait. Evidence without a proof, and that of daemons of the version before, decides at once as it did.

Tests changed: calls of CrashEvidence.of have the new argument, false; no expectation of an earlier test changed.

Why it works: at 1.5 s the request with the cause has been reported as well, by whichever entry, and explains the crash.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -117,6 +117,7 @@
     for (CrashEvidence evidence : call.crashEvidence()) {
       changes.addAll(crashes.recordCrash(evidence, now));
     }
+    changes.addAll(crashes.quarantineReported(now));
     QuarantineEvents.log(log, changes);
     QuarantineEvents.logWaiting(log, crashes.takeWaiting());
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
@@ -9,6 +9,7 @@
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.state.ControlState;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,42 @@
         duties.liveDaemons(NOW.plus(HEARTBEAT)).stream().map(DaemonStatus::incarnation).toList());
   }
 
+  // Guards against a part that all requests share, refused because requests under way at the
+  // crashes
+  // of another part are reported before those with the cause.
+  @Test
+  void should_wait_for_the_cause_when_one_instance_reports_requests_under_way_first() {
+    duties.startLeadership(state, NOW);
+    for (int i = 0; i < 4; i++) {
+      duties.receiveHeartbeat(crash(i, "first", true), state, NOW);
+    }
+    for (int i = 0; i < 4; i++) {
+      duties.receiveHeartbeat(crash(i, "bad", false), state, NOW.plus(HEARTBEAT));
+    }
+
+    duties.receiveHeartbeat(heartbeat(START), state, NOW.plusSeconds(5));
+
+    assertEquals(List.of("bad"), duties.quarantinedParts());
+  }
+
+  @Test
+  void should_quarantine_a_part_without_another_crash_once_all_reports_had_time_to_arrive() {
+    duties.startLeadership(state, NOW);
+    for (int i = 0; i < 4; i++) {
+      duties.receiveHeartbeat(crash(i, "bad", true), state, NOW);
+    }
+
+    duties.receiveHeartbeat(heartbeat(START), state, NOW.plusSeconds(5));
+
+    assertEquals(List.of("bad"), duties.quarantinedParts());
+  }
+
+  private static HeartbeatCall crash(int target, String part, boolean isProven) {
+    return heartbeat(START)
+        .withCrashEvidence(
+            List.of(CrashEvidence.of("target-" + target, 1, List.of(part), isProven)));
+  }
+
   private static HeartbeatCall heartbeat(long incarnation) {
     return HeartbeatCall.of(
         DaemonStatus.of("entry-1", incarnation, "dc-1", 1, 1, true, false, ""),
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -149,7 +149,7 @@
   }
 
   private static CrashEvidence crash(String target) {
-    return CrashEvidence.of(target, 1, List.of("part"));
+    return CrashEvidence.of(target, 1, List.of("part"), false);
   }
 
   private HeartbeatAnswer heartbeat(
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
@@ -24,6 +24,20 @@
   /** Distinct crashes after which a part is quarantined. */
   public static final int QUARANTINE_CRASHES = 3;
 
+  /** Distinct crashes for a part that was answered completely shortly before each of them. */
+  static final int PROVEN_QUARANTINE_CRASHES = QUARANTINE_CRASHES + 1;
+
+  /**
+   * Distinct crashes after which such a part is quarantined although another part may explain some.
+   */
+  static final int MAX_PROVEN_CRASHES = QUARANTINE_CRASHES + 2;
+
+  /**
+   * Time in which all reports of one crash arrive: that without an answer of the leader, after
+   * which an instance uses its own evidence anyway.
+   */
+  static final Duration REPORT_TIME = PartQuarantine.LEADER_TIMEOUT;
+
   /** Time after the last crash for which the evidence against a part is kept. */
   public static final Duration EVIDENCE_VALIDITY = Duration.ofSeconds(60);
 
@@ -50,34 +64,55 @@
   /**
    * Records that a target crashed under a request. A crash that is recorded again, for another
    * request or by another instance, counts once against each part.
+   *
+   * <p>Evidence of a request whose parts were all proven sound shortly before decides nothing yet:
+   * the request with the cause may be reported later, see {@link #quarantineReported}. A proof at
+   * one instance holds for the reports of all instances.
    */
   public List<QuarantineChange> recordCrash(CrashEvidence evidence, Instant now) {
     Crash crash = new Crash(evidence.target(), evidence.incarnation());
+    Instant reportedAt = firstReportOf(crash).orElse(now);
     List<Suspicion> explaining = evidence.parts().stream().flatMap(this::findQuarantined).toList();
     if (!explaining.isEmpty()) {
-      explaining.forEach(suspicion -> suspicion.add(crash, now));
+      explaining.forEach(suspicion -> suspicion.add(crash, evidence.proven(), reportedAt, now));
       return List.of();
     }
     for (int i = 0; i < evidence.parts().size(); i++) {
-      suspect(evidence.parts().get(i), i, crash, now);
+      Suspicion suspicion = suspect(evidence.parts().get(i), i, now);
+      suspicion.add(crash, evidence.proven(), reportedAt, now);
     }
-    boolean isExplained =
-        quarantined.values().stream().anyMatch(held -> held.crashes.contains(crash));
-    return isExplained ? List.of() : quarantineMostLikely(evidence.parts(), crash, now);
+    return evidence.proven() || isExplained(crash)
+        ? List.of()
+        : quarantineMostLikely(evidence.parts(), crash, now);
+  }
+
+  /** Returns whether a quarantined part had a crash. */
+  private boolean isExplained(Crash crash) {
+    return quarantined.values().stream().anyMatch(held -> held.has(crash));
   }
 
   private Stream<Suspicion> findQuarantined(String part) {
     return Optional.ofNullable(quarantined.get(part)).stream();
   }
 
-  /** Adds a crash to a part and moves the part to the end, so that the oldest is dropped first. */
-  private void suspect(String part, int depth, Crash crash, Instant now) {
+  private Optional<Instant> firstReportOf(Crash crash) {
+    return suspicions()
+        .flatMap(suspicion -> Optional.ofNullable(suspicion.crashes.get(crash)).stream())
+        .min(Comparator.naturalOrder());
+  }
+
+  private Stream<Suspicion> suspicions() {
+    return Stream.concat(suspected.values().stream(), quarantined.values().stream());
+  }
+
+  /** Suspects a part and moves it to the end, so that the oldest is dropped first. */
+  private Suspicion suspect(String part, int depth, Instant now) {
     Suspicion suspicion =
         Optional.ofNullable(suspected.remove(part)).orElseGet(() -> new Suspicion(now));
-    suspicion.add(crash, now);
     suspicion.depth = Math.max(suspicion.depth, depth);
     suspected.put(part, suspicion);
     dropOldest(suspected);
+    return suspicion;
   }
 
   private static void dropOldest(Map<String, Suspicion> parts) {
@@ -96,20 +131,24 @@
   private List<QuarantineChange> quarantineMostLikely(
       List<String> parts, Crash newest, Instant now) {
     List<String> suspects =
-        parts.stream().distinct().filter(part -> crashes(part) >= QUARANTINE_CRASHES).toList();
+        parts.stream().distinct().filter(part -> isAtLimit(part, decisive(part, now))).toList();
     List<String> postponed =
-        suspects.stream().filter(part -> mayBeExplainedByDeeperPart(part, newest, parts)).toList();
-    postponed.forEach(this::recordWaiting);
-    Optional<String> mostLikely =
         suspects.stream()
-            .filter(part -> !postponed.contains(part))
-            .max(
-                Comparator.<String>comparingInt(this::crashes)
-                    .thenComparingInt(part -> suspected.get(part).depth));
-    if (mostLikely.isEmpty()) {
-      return List.of();
-    }
-    String part = mostLikely.get();
+            .filter(part -> mayBeExplainedByDeeperPart(part, newest, parts, now))
+            .toList();
+    postponed.forEach(this::recordWaiting);
+    return mostLikely(suspects.stream().filter(part -> !postponed.contains(part)))
+        .map(part -> quarantine(part, now))
+        .orElse(List.of());
+  }
+
+  private Optional<String> mostLikely(Stream<String> suspects) {
+    return suspects.max(
+        Comparator.<String>comparingInt(this::crashes)
+            .thenComparingInt(part -> suspected.get(part).depth));
+  }
+
+  private List<QuarantineChange> quarantine(String part, Instant now) {
     Suspicion suspicion = suspected.remove(part);
     quarantined.put(part, suspicion);
     dropOldest(quarantined);
@@ -118,6 +157,57 @@
             part, suspicion.crashes.size(), "targets crashed under it, last at " + now));
   }
 
+  /**
+   * Quarantines the most likely of the parts that were proven sound shortly before crashes and have
+   * enough of them whose reports have all had the time to arrive.
+   */
+  public List<QuarantineChange> quarantineReported(Instant now) {
+    return mostLikely(suspected.keySet().stream().filter(part -> isReportedCause(part, now)))
+        .map(part -> quarantine(part, now))
+        .orElse(List.of());
+  }
+
+  private boolean isReportedCause(String part, Instant now) {
+    Suspicion suspicion = suspected.get(part);
+    Set<Crash> reported = counted(part);
+    reported.removeIf(crash -> !suspicion.isReported(crash, now));
+    Optional<Crash> newest = reported.stream().reduce((earlier, later) -> later);
+    return newest.filter(suspicion::isProvenAt).isPresent()
+        && !isExplained(newest.get())
+        && isAtLimit(part, reported);
+  }
+
+  /** Returns the crashes of a part that decide at once, and those that are reported by all. */
+  private Set<Crash> decisive(String part, Instant now) {
+    Suspicion suspicion = suspected.get(part);
+    Set<Crash> decisive = counted(part);
+    decisive.removeIf(crash -> suspicion.isProvenAt(crash) && !suspicion.isReported(crash, now));
+    return decisive;
+  }
+
+  /**
+   * Returns whether crashes suffice against a part. One shortly after a proof of the part counts
+   * only if no likelier part had it, up to {@link #MAX_PROVEN_CRASHES}.
+   */
+  private boolean isAtLimit(String part, Set<Crash> crashes) {
+    if (crashes.size() < QUARANTINE_CRASHES) {
+      return false;
+    }
+    Suspicion suspicion = suspected.get(part);
+    boolean isAlwaysProven = crashes.stream().allMatch(suspicion::isProvenAt);
+    long count =
+        crashes.stream()
+            .filter(crash -> !suspicion.isProvenAt(crash) || !hasLikelierPart(crash))
+            .count();
+    return count >= (isAlwaysProven ? PROVEN_QUARANTINE_CRASHES : QUARANTINE_CRASHES)
+        || crashes.size() >= MAX_PROVEN_CRASHES;
+  }
+
+  /** Returns whether a part that was not proven before a crash had it and at least one other. */
+  private boolean hasLikelierPart(Crash crash) {
+    return suspicions().anyMatch(other -> other.isUnprovenAt(crash) && other.unprovenCrashes() > 1);
+  }
+
   /** Notes a part once for each crash, however often the crash is reported. */
   private void recordWaiting(String part) {
     Suspicion suspicion = suspected.get(part);
@@ -138,18 +228,22 @@
   }
 
   /**
-   * Returns whether a deeper part of other requests had all crashes of a part but the newest one.
-   * The requests under way at one crash are reported one by one, so the request with the deeper
-   * part may only be reported later. If it is not, the part is quarantined at its next crash.
+   * Returns whether a deeper part of other requests, not proven sound before them, had all crashes
+   * of a part but the newest one. The requests under way at one crash are reported one by one, so
+   * the request with the deeper part may only be reported later. If it is not, the part is
+   * quarantined at its next crash.
    */
-  private boolean mayBeExplainedByDeeperPart(String part, Crash newest, List<String> reported) {
+  private boolean mayBeExplainedByDeeperPart(
+      String part, Crash newest, List<String> reported, Instant now) {
     Suspicion suspicion = suspected.get(part);
-    Set<Crash> earlier = new HashSet<>(suspicion.crashes);
+    Set<Crash> earlier = decisive(part, now);
     earlier.remove(newest);
     return suspected.entrySet().stream()
         .filter(other -> !reported.contains(other.getKey()))
         .map(Map.Entry::getValue)
-        .anyMatch(other -> other.depth > suspicion.depth && other.crashes.containsAll(earlier));
+        .anyMatch(
+            other ->
+                other.depth > suspicion.depth && earlier.stream().allMatch(other::isUnprovenAt));
   }
 
   /** Records a complete answer to a request with a part, which clears and releases the part. */
@@ -216,16 +310,19 @@
     if (quarantined.containsKey(part)) {
       return quarantined.get(part).crashes.size();
     }
-    if (!suspected.containsKey(part)) {
-      return 0;
-    }
-    Set<Crash> counted = new HashSet<>(suspected.get(part).crashes);
+    return suspected.containsKey(part) ? counted(part).size() : 0;
+  }
+
+  /** Returns the crashes that count against a suspected part, oldest first. */
+  private Set<Crash> counted(String part) {
+    Set<Crash> crashes = suspected.get(part).crashes.keySet();
+    Set<Crash> counted = new LinkedHashSet<>(crashes);
     for (Suspicion held : quarantined.values()) {
-      if (!suspected.get(part).crashes.containsAll(held.crashes)) {
-        counted.removeAll(held.crashes);
+      if (!crashes.containsAll(held.crashes.keySet())) {
+        counted.removeAll(held.crashes.keySet());
       }
     }
-    return counted.size();
+    return counted;
   }
 
   /** Returns the suspected parts that are not quarantined; those of the oldest crashes first. */
@@ -249,7 +346,12 @@
 
   private static final class Suspicion {
 
-    private final Set<Crash> crashes = new LinkedHashSet<>();
+    /** Crashes with the time of the first report of each, of whatever part. */
+    private final Map<Crash, Instant> crashes = new LinkedHashMap<>();
+
+    /** Crashes shortly before which an instance had proven the part sound. */
+    private final Set<Crash> afterProof = new HashSet<>();
+
     private Instant lastCrashAt;
     private int depth;
     private int waitingCrashes;
@@ -258,12 +360,37 @@
       lastCrashAt = now;
     }
 
-    private void add(Crash crash, Instant now) {
-      crashes.add(crash);
+    private void add(Crash crash, boolean isProven, Instant reportedAt, Instant now) {
+      crashes.putIfAbsent(crash, reportedAt);
+      if (isProven) {
+        afterProof.add(crash);
+      }
       lastCrashAt = now;
       if (crashes.size() > MAX_CRASHES_PER_PART) {
-        crashes.remove(crashes.iterator().next());
+        Crash oldest = crashes.keySet().iterator().next();
+        crashes.remove(oldest);
+        afterProof.remove(oldest);
       }
     }
+
+    private boolean has(Crash crash) {
+      return crashes.containsKey(crash);
+    }
+
+    private boolean isProvenAt(Crash crash) {
+      return afterProof.contains(crash);
+    }
+
+    private boolean isReported(Crash crash, Instant now) {
+      return !now.isBefore(crashes.get(crash).plus(REPORT_TIME));
+    }
+
+    private boolean isUnprovenAt(Crash crash) {
+      return has(crash) && !isProvenAt(crash);
+    }
+
+    private int unprovenCrashes() {
+      return crashes.size() - afterProof.size();
+    }
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
@@ -107,8 +107,9 @@
     if (suspects.isEmpty()) {
       return changes;
     }
-    CrashEvidence evidence = CrashEvidence.of(target, incarnation, suspects);
+    CrashEvidence evidence = CrashEvidence.of(target, incarnation, suspects, unproven.isEmpty());
     changes.addAll(own.recordCrash(evidence, now));
+    changes.addAll(own.quarantineReported(now));
     unreportedCrashes.add(evidence);
     dropOldest(unreportedCrashes);
     return changes;
@@ -212,6 +213,7 @@
     if (lists.term() == term) {
       forgetCleared(lists).forEach(changes::add);
     }
+    changes.addAll(own.quarantineReported(now));
     term = lists.term();
     lastAnswerAt = Optional.of(now);
     return changes;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/CrashLedgerTest.java
@@ -1,11 +1,14 @@
 package org.geraniumwharf.quarantine;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.time.Instant;
 import java.util.List;
+import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +20,20 @@
 
   private List<QuarantineChange> crash(int number, String... parts) {
     return ledger.recordCrash(
-        CrashEvidence.of("target-" + number, number, List.of(parts)), START.plusSeconds(number));
+        CrashEvidence.of("target-" + number, number, List.of(parts), false),
+        START.plusSeconds(number));
+  }
+
+  /** Records a crash under a request whose parts were all proven sound shortly before. */
+  private void crashAfterProof(int number, String... parts) {
+    ledger.recordCrash(
+        CrashEvidence.of("target-" + number, number, List.of(parts), true),
+        START.plusSeconds(number));
+  }
+
+  /** Decides once all reports of a crash have had the time to arrive. */
+  private List<QuarantineChange> decideAfter(int number) {
+    return ledger.quarantineReported(START.plusSeconds(number).plus(CrashLedger.REPORT_TIME));
   }
 
   @Test
@@ -45,7 +61,7 @@
   @Test
   void should_count_each_process_of_a_target() {
     for (int incarnation = 1; incarnation <= 3; incarnation++) {
-      ledger.recordCrash(CrashEvidence.of("target", incarnation, List.of("bad")), START);
+      ledger.recordCrash(CrashEvidence.of("target", incarnation, List.of("bad"), false), START);
     }
 
     assertTrue(ledger.isQuarantined("bad"));
@@ -105,6 +121,108 @@
     assertEquals(List.of("bad"), ledger.quarantinedParts());
   }
 
+  @Test
+  void should_wait_for_all_reports_of_a_crash_before_it_counts_against_a_proven_part() {
+    for (int i = 1; i <= 4; i++) {
+      crashAfterProof(i, "first", "under-way");
+    }
+    Instant reported = START.plusSeconds(4).plus(CrashLedger.REPORT_TIME);
+
+    List<QuarantineChange> early = ledger.quarantineReported(reported.minusMillis(1));
+    List<QuarantineChange> atTime = ledger.quarantineReported(reported);
+
+    assertEquals(List.of(), early);
+    assertEquals(List.of("under-way"), atTime.stream().map(QuarantineChange::part).toList());
+  }
+
+  @Test
+  void should_need_one_crash_more_against_a_part_that_was_always_proven() {
+    for (int i = 1; i <= 3; i++) {
+      crashAfterProof(i, "part");
+    }
+
+    assertEquals(List.of(), decideAfter(3));
+    assertTrue(ledger.isSuspected("part"));
+  }
+
+  @Test
+  void should_not_blame_a_proven_part_for_crashes_that_a_quarantined_part_explains() {
+    for (int i = 1; i <= 3; i++) {
+      crashAfterProof(i, "first", "under-way");
+      crash(i, "bad");
+    }
+
+    crashAfterProof(4, "first", "under-way");
+    crash(4, "bad");
+    List<QuarantineChange> changes = decideAfter(4);
+
+    assertEquals(List.of(), changes);
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+  }
+
+  @Test
+  void should_not_postpone_the_cause_for_proven_parts_of_requests_under_way() {
+    for (int i = 1; i <= 2; i++) {
+      crashAfterProof(i, "first", "under-way");
+      crash(i, "bad");
+    }
+
+    crash(3, "bad");
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+  }
+
+  @Test
+  void should_not_count_crashes_against_a_proven_part_that_a_likelier_part_had() {
+    for (int i = 1; i <= 2; i++) {
+      crashAfterProof(i, "first");
+      crash(i, "bad");
+    }
+
+    crashAfterProof(3, "first");
+    crashAfterProof(4, "first");
+
+    assertEquals(List.of(), decideAfter(4));
+  }
+
+  @Test
+  void should_quarantine_a_proven_part_at_its_fifth_crash_whatever_likelier_parts_had() {
+    for (int i = 1; i <= 2; i++) {
+      crashAfterProof(i, "bad");
+      crash(i, "other");
+    }
+
+    for (int i = 3; i <= 5; i++) {
+      crashAfterProof(i, "bad");
+    }
+    decideAfter(5);
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+  }
+
+  // Daemons of the version before don't say whether the parts were proven.
+  @Test
+  void should_decide_at_once_by_evidence_that_does_not_tell_of_proofs() throws IOException {
+    for (int i = 1; i <= 3; i++) {
+      String text = "{\"target\":\"target-" + i + "\",\"incarnation\":1,\"parts\":[\"bad\"]}";
+      ledger.recordCrash(Codec.json().decode(text.getBytes(UTF_8), CrashEvidence.class), START);
+    }
+
+    assertEquals(List.of("bad"), ledger.quarantinedParts());
+  }
+
+  // An instance that started lately has no answers of its own yet.
+  @Test
+  void should_believe_a_proof_at_one_instance_beside_a_report_without_one_of_another() {
+    for (int i = 1; i <= 3; i++) {
+      crashAfterProof(i, "first", "under-way");
+      crash(i, "first", "under-way-" + i);
+    }
+
+    assertEquals(List.of(), decideAfter(3));
+    assertEquals(List.of(), ledger.quarantinedParts());
+  }
+
   @Test
   void should_tell_once_for_each_crash_that_the_quarantine_of_a_part_waits() {
     crash(1, "first", "a", "bad");
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
@@ -5,7 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
 import org.geraniumwharf.quarantine.PartQuarantine.LeaderLists;
 import org.geraniumwharf.quarantine.PartQuarantine.Report;
 import org.geraniumwharf.schema.messages.CrashEvidence;
@@ -20,11 +24,13 @@
   private final PartQuarantine other = PartQuarantine.create();
 
   /** Sends a heartbeat of an instance to the leader and applies the answer. */
-  private void heartbeat(PartQuarantine instance, long term, CrashLedger ledger, Instant now) {
+  private static void heartbeat(
+      PartQuarantine instance, long term, CrashLedger ledger, Instant now) {
     Report report = instance.report();
     report.quarantinedParts().forEach(part -> ledger.adopt(part, now));
     report.soundParts().forEach(ledger::recordSound);
     report.crashes().forEach(evidence -> ledger.recordCrash(evidence, now));
+    ledger.quarantineReported(now);
     instance.applyAnswer(
         report, new LeaderLists(term, ledger.suspectedParts(), ledger.quarantinedParts()), now);
   }
@@ -85,7 +91,8 @@
 
     one.recordCrash("target-1", 1, List.of("first", "bad"), START.plusSeconds(1));
 
-    assertEquals(List.of(CrashEvidence.of("target-1", 1, List.of("bad"))), one.report().crashes());
+    assertEquals(
+        List.of(CrashEvidence.of("target-1", 1, List.of("bad"), false)), one.report().crashes());
   }
 
   @Test
@@ -98,6 +105,34 @@
     assertTrue(one.isAnySuspected(List.of("bad"), START.plusSeconds(1)));
   }
 
+  // A complete answer shortly before proves a part sound, but it may crash targets since.
+  @Test
+  void should_refuse_a_part_before_its_fifth_crash_although_it_was_answered_shortly_before() {
+    one.recordSound(List.of("first", "bad"), START);
+    other.recordSound(List.of("first", "bad"), START);
+
+    for (int i = 1; i <= 4; i++) {
+      Instant now = START.plusSeconds(2L * i);
+      PartQuarantine entry = i % 2 == 0 ? one : other;
+      entry.recordCrash("target-" + i, 1, List.of("first", "bad"), now);
+      heartbeats(now);
+    }
+    heartbeats(START.plusSeconds(8).plus(CrashLedger.REPORT_TIME));
+
+    assertEquals(List.of("bad"), leader.quarantinedParts());
+  }
+
+  @Test
+  void should_tell_the_leader_that_all_parts_of_a_request_had_a_recent_answer() {
+    one.recordSound(List.of("first", "context"), START);
+
+    one.recordCrash("target-1", 1, List.of("first", "context"), START.plusSeconds(1));
+
+    assertEquals(
+        List.of(CrashEvidence.of("target-1", 1, List.of("first", "context"), true)),
+        one.report().crashes());
+  }
+
   @Test
   void should_keep_serving_requests_that_were_under_way_at_two_crashes() {
     one.recordCrash("target-1", 1, List.of("first", "under-way"), START);
@@ -141,7 +176,8 @@
 
     one.recordSound(List.of("shared"), START);
 
-    assertEquals(List.of(CrashEvidence.of("target-1", 1, List.of("bad"))), one.report().crashes());
+    assertEquals(
+        List.of(CrashEvidence.of("target-1", 1, List.of("bad"), false)), one.report().crashes());
     assertEquals(List.of("shared"), one.report().soundParts());
   }
 
@@ -191,4 +227,135 @@
     assertEquals(PartQuarantine.MAX_REPORTED, one.report().crashes().size());
     assertEquals(PartQuarantine.MAX_REPORTED, other.report().soundParts().size());
   }
+
+  /** Crashes that follow one another faster than heartbeats, as in the failed test of the fleet. */
+  private static final int CRASHES = 4;
+
+  private static final int ORDERS = 2000;
+  private static final int REPORTED_AFTER_MILLIS = 300;
+  private static final int HEARTBEAT_MILLIS = 150;
+  private static final int LATE_HEARTBEAT_MILLIS = 900;
+
+  private void proveAt(PartQuarantine instance) {
+    instance.recordSound(
+        List.of("first", "context-1", "context-3", "context-5", "context-7", "context-19"), START);
+  }
+
+  /** Replays the crashes of the failed run at its two entries, with the cause at either. */
+  private void replayFailedRun(PartQuarantine ofRequest244, PartQuarantine ofRequest246) {
+    proveAt(one);
+    proveAt(other);
+    other.recordCrash("target-0", 1000, List.of("first", "context-7"), START);
+    one.recordCrash("target-0", 1000, List.of("first", "context-19"), START);
+    ofRequest244.recordCrash("target-0", 1000, List.of("first", "context-3", "crashing"), START);
+    one.recordCrash("target-1", 1000, List.of("first", "context-1"), START);
+    ofRequest246.recordCrash("target-1", 1000, List.of("first", "context-5", "crashing"), START);
+    ofRequest246.recordCrash("target-3", 1000, List.of("first", "context-5", "crashing"), START);
+    one.recordCrash("target-3", 1000, List.of("first", "context-1"), START);
+    heartbeat(one, 1, leader, START);
+    other.recordCrash("target-2", 1000, List.of("first", "context-7"), START);
+    heartbeat(other, 1, leader, START);
+    one.recordCrash("target-3", 1000, List.of("first", "context-19"), START);
+    ofRequest244.recordCrash("target-2", 1000, List.of("first", "context-3", "crashing"), START);
+    heartbeats(START);
+    heartbeats(START.plusSeconds(5));
+  }
+
+  @Test
+  void should_not_refuse_the_shared_part_if_the_cause_is_reported_by_both_entries() {
+    replayFailedRun(other, one);
+
+    assertEquals(List.of("crashing"), leader.quarantinedParts());
+  }
+
+  @Test
+  void should_not_refuse_the_shared_part_if_the_cause_is_reported_by_the_entry_that_comes_last() {
+    replayFailedRun(other, other);
+
+    assertEquals(List.of("crashing"), leader.quarantinedParts());
+  }
+
+  @Test
+  void should_not_refuse_the_shared_part_by_the_evidence_of_one_entry_without_a_leader() {
+    replayFailedRun(other, other);
+
+    Instant later = START.plusSeconds(5).plus(PartQuarantine.LEADER_TIMEOUT);
+
+    assertFalse(isRefused(one, "first", later));
+    assertFalse(isRefused(other, "first", later));
+  }
+
+  @Test
+  void should_find_the_cause_whatever_the_order_of_the_reports() {
+    List<String> proven = List.of("first", "context-0", "context-1");
+
+    assertEquals(List.of(), ordersThatMissTheCause(proven));
+  }
+
+  @Test
+  void should_find_a_cause_that_was_answered_shortly_before_whatever_the_order_of_the_reports() {
+    List<String> proven = List.of("first", "context-0", "context-1", "crashing");
+
+    assertEquals(List.of(), ordersThatMissTheCause(proven));
+  }
+
+  /** Returns the seeds of the orders after which not the cause alone is quarantined. */
+  private static List<Integer> ordersThatMissTheCause(List<String> proven) {
+    return IntStream.range(0, ORDERS)
+        .filter(seed -> !new ReportOrder(seed).leadsToTheCause(proven))
+        .boxed()
+        .toList();
+  }
+
+  /** One order of the reports of several crashes that the same part caused at two entries. */
+  private static final class ReportOrder {
+
+    private final Random random;
+    private final CrashLedger ledger = CrashLedger.create();
+    private final List<PartQuarantine> entries =
+        List.of(PartQuarantine.create(), PartQuarantine.create());
+    private final List<Step> steps = new ArrayList<>();
+
+    /** What happens at one entry at one time. */
+    private record Step(Instant at, Runnable change) {}
+
+    private ReportOrder(int seed) {
+      random = new Random(seed);
+    }
+
+    private boolean leadsToTheCause(List<String> proven) {
+      entries.forEach(entry -> entry.recordSound(proven, START));
+      for (int crash = 0; crash < CRASHES; crash++) {
+        addReports(crash, START.plusMillis(100 + 100 * crash));
+      }
+      entries.forEach(this::addHeartbeats);
+      steps.sort(Comparator.comparing(Step::at));
+      steps.forEach(step -> step.change.run());
+      return ledger.quarantinedParts().equals(List.of("crashing"));
+    }
+
+    /** Adds a request with the cause at one entry, and sound ones at either or both. */
+    private void addReports(int crash, Instant at) {
+      addReport(entries.get(random.nextInt(2)), crash, at, "first", "context-0", "crashing");
+      for (PartQuarantine entry : entries) {
+        if (random.nextInt(4) > 0) {
+          addReport(entry, crash, at, "first", "context-" + random.nextInt(2));
+        }
+      }
+    }
+
+    private void addReport(PartQuarantine entry, int crash, Instant crashedAt, String... parts) {
+      Instant at = crashedAt.plusMillis(random.nextInt(REPORTED_AFTER_MILLIS));
+      steps.add(new Step(at, () -> entry.recordCrash("target-" + crash, 1, List.of(parts), at)));
+    }
+
+    private void addHeartbeats(PartQuarantine entry) {
+      Instant at = START;
+      while (at.isBefore(START.plusSeconds(6))) {
+        at = at.plusMillis(HEARTBEAT_MILLIS + random.nextInt(LATE_HEARTBEAT_MILLIS));
+        Instant sentAt = at;
+        steps.add(new Step(sentAt, () -> heartbeat(entry, 1, ledger, sentAt)));
+      }
+    }
+  }
 }
