Count the time since the start of control for replaced weights

Cause: an entry's limit counted only time in which its view was confirmed. The platform counts from 3 s after the last start of a control process, whether control serves or not. Where processes took 3 to 8 s to serve, or the leader changed, the limit began that much later. Class: a bound that is counted from when a thing works, in place of when it has to work.

Change: each message of a view tells for how long the process that sends it has run. After a gap the time counts from 3 s after that start; a gap that comes within 30 s of the start, when the leader may change, counts as a whole. A control instance counts its own time in the same way for entries that start again. A gap without a start is taken for a cut, and doesn't count, as before.

Evidence: red with the time since the start ignored: WeightsLimitTest.should_ count_the_time_in_which_control_was_started_and_did_not_serve, and 2 of 8 cases of ConfirmedTimeTest. Green with the change, with ProcessStartTest and the tests of views, replicas and rollouts beside them.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/ControlOptions.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 
 /**
@@ -20,6 +21,7 @@
  * @param toleratedLosses number of instances that may be lost at once without losing acknowledged
  *     changes, if the group replaces unresponsive instances automatically; {@link
  *     #MEMBERS_BY_OPERATORS} if it does not
+ * @param startedAt time at which the process was started, by its own clock
  */
 public record ControlOptions(
     String name,
@@ -32,7 +34,8 @@
     Duration daemonLease,
     Duration runRetention,
     int maxRuns,
-    int toleratedLosses) {
+    int toleratedLosses,
+    Instant startedAt) {
 
   /** Value of {@link #toleratedLosses} if operators change the members of the group. */
   public static final int MEMBERS_BY_OPERATORS = 0;
@@ -54,6 +57,7 @@
         daemonLease,
         runRetention,
         maxRuns,
-        toleratedLosses);
+        toleratedLosses,
+        startedAt);
   }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -44,6 +44,7 @@
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.StateSnapshot;
 import org.geraniumwharf.time.ConfirmedTime;
+import org.geraniumwharf.time.ProcessStart;
 import org.geraniumwharf.weights.NamedTimes;
 
 /**
@@ -125,7 +126,10 @@
     this.placement = new PlacementDuty(options, log);
     this.viewStream =
         new ViewStream(
-            state::view, () -> namedTimes.atLastConfirmation(confirmedTime), this::memberNames);
+            state::view,
+            () -> namedTimes.atLastConfirmation(confirmedTime),
+            this::memberNames,
+            () -> Duration.between(options.startedAt(), clock.instant()).toMillis());
     this.callHandler =
         new CallHandler(
             options,
@@ -327,7 +331,7 @@
     viewConfirmedAge = core.confirmedAge(now);
     viewConfirmedAgeAt = now;
     if (viewConfirmedAge.compareTo(NEVER_CONFIRMED) < 0) {
-      recordConfirmed(now.minus(viewConfirmedAge));
+      recordConfirmed(now.minus(viewConfirmedAge), now);
     }
     if (!now.isBefore(nextFreshness)) {
       nextFreshness = now.plus(FRESHNESS_INTERVAL);
@@ -335,12 +339,14 @@
     }
   }
 
-  private void recordConfirmed(Instant at) {
+  private void recordConfirmed(Instant at, Instant now) {
+    Optional<Instant> servingSince = ProcessStart.servingSince(options.startedAt(), now);
+    Instant first = servingSince.filter(at::isAfter).orElse(at);
     confirmedTime =
         Optional.of(
             confirmedTime
-                .map(time -> time.confirmed(at))
-                .orElseGet(() -> ConfirmedTime.startingAt(at)));
+                .orElseGet(() -> ConfirmedTime.startingAt(first))
+                .confirmed(at, servingSince));
   }
 
   private void processAllOutput() throws InterruptedException {
@@ -424,8 +430,9 @@
     pendingCalls.completeEntry(entry.index(), entry.term(), applied.answer());
   }
 
+  /** What is learned before the first confirmation was named before this process was started. */
   private void recordNamed(List<NamedWeights> weights) {
-    Instant now = clock.instant();
+    Instant now = confirmedTime.isEmpty() ? options.startedAt() : clock.instant();
     for (NamedWeights named : weights) {
       namedTimes.recordNamed(named.model(), named.version(), confirmedTime, now);
     }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.schema.messages.WatchDelta;
@@ -26,6 +28,7 @@
   private final Supplier<FleetView> view;
   private final Supplier<List<NamedDuration>> named;
   private final Supplier<List<String>> members;
+  private final LongSupplier upMillis;
   private final Deque<ViewChange> retainedChanges = new ArrayDeque<>();
   private final List<ViewSink> watchers = new ArrayList<>();
   private final List<WaitingWatcher> waitingWatchers = new ArrayList<>();
@@ -36,14 +39,17 @@
    * Creates a stream without watchers.
    *
    * @param named how long versions of weights had been named when the view was last confirmed
+   * @param upMillis time since the process was started
    */
   ViewStream(
       Supplier<FleetView> view,
       Supplier<List<NamedDuration>> named,
-      Supplier<List<String>> members) {
+      Supplier<List<String>> members,
+      LongSupplier upMillis) {
     this.view = view;
     this.named = named;
     this.members = members;
+    this.upMillis = upMillis;
   }
 
   /**
@@ -66,11 +72,11 @@
       return sink.offer(snapshot(ageMillis));
     }
     for (ViewChange change : retainedChanges) {
-      if (change.index() > afterIndex && !sink.offer(WatchDelta.of(change, ageMillis))) {
+      if (change.index() > afterIndex && !sink.offer(delta(change, ageMillis))) {
         return false;
       }
     }
-    return sink.offer(WatchFreshness.of(index, ageMillis, members.get()));
+    return sink.offer(freshness(ageMillis));
   }
 
   /** Retains a change of the view and sends it to every watcher. */
@@ -80,14 +86,13 @@
     if (retainedChanges.size() > MAX_RETAINED_CHANGES) {
       retainedAfter = retainedChanges.removeFirst().index();
     }
-    watchers.removeIf(sink -> !sink.offer(WatchDelta.of(change, ageMillis)));
+    watchers.removeIf(sink -> !sink.offer(delta(change, ageMillis)));
   }
 
   /** Sends the applied index and its age to every watcher, and admits those that wait for it. */
   void sendFreshness(long appliedIndex, long ageMillis) {
     index = appliedIndex;
-    watchers.removeIf(
-        sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis, members.get())));
+    watchers.removeIf(sink -> !sink.offer(freshness(ageMillis)));
     admitWaiting(ageMillis);
   }
 
@@ -113,7 +118,19 @@
   }
 
   private WatchSnapshot snapshot(long ageMillis) {
-    return WatchSnapshot.of(view.get(), ageMillis, named.get());
+    return WatchSnapshot.of(view.get(), ageMillis, up(), named.get());
+  }
+
+  private WatchDelta delta(ViewChange change, long ageMillis) {
+    return WatchDelta.of(change, ageMillis, up());
+  }
+
+  private WatchFreshness freshness(long ageMillis) {
+    return WatchFreshness.of(index, ageMillis, up(), members.get());
+  }
+
+  private Optional<Long> up() {
+    return Optional.of(upMillis.getAsLong());
   }
 
   private record WaitingWatcher(long afterIndex, ViewSink sink) {}
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/DisksFullInTurnTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/DisksFullInTurnTest.java
@@ -165,7 +165,8 @@
             Duration.ofSeconds(5),
             Duration.ofHours(1),
             1000,
-            2);
+            2,
+            Instant.EPOCH);
     DataFolder data = DataFolder.open(options.dataFolder());
     FileReplicaStorage file = FileReplicaStorage.open(data).storage();
     opened.add(file);
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/FreshnessBeforeApplyTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/FreshnessBeforeApplyTest.java
@@ -52,7 +52,8 @@
           Duration.ofSeconds(5),
           Duration.ofHours(1),
           1000,
-          ControlOptions.MEMBERS_BY_OPERATORS);
+          ControlOptions.MEMBERS_BY_OPERATORS,
+          Instant.EPOCH);
 
   private final SlowStorage storage = new SlowStorage();
   private final BlockingQueue<ControlAnswer> stream = new LinkedBlockingQueue<>();
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/HundredsOfLargeChangesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/HundredsOfLargeChangesTest.java
@@ -121,7 +121,8 @@
             Duration.ofSeconds(5),
             Duration.ofHours(1),
             1000,
-            ControlOptions.MEMBERS_BY_OPERATORS);
+            ControlOptions.MEMBERS_BY_OPERATORS,
+            Instant.EPOCH);
     Optional<RaftSnapshot> snapshot = opened.recovered().snapshot();
     HardState hardState = opened.recovered().hardState();
     RaftInitialState initial =
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
@@ -116,6 +116,7 @@
         DAEMON_LEASE,
         Duration.ofHours(1),
         1000,
-        ControlOptions.MEMBERS_BY_OPERATORS);
+        ControlOptions.MEMBERS_BY_OPERATORS,
+        Instant.EPOCH);
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -60,7 +60,8 @@
           Duration.ofSeconds(5),
           Duration.ofHours(1),
           1000,
-          ControlOptions.MEMBERS_BY_OPERATORS);
+          ControlOptions.MEMBERS_BY_OPERATORS,
+          Instant.EPOCH);
 
   private final SplittableRandom random;
   private final ControlState state = ControlState.empty();
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -61,7 +61,8 @@
           Duration.ofSeconds(5),
           Duration.ofHours(1),
           1000,
-          ControlOptions.MEMBERS_BY_OPERATORS);
+          ControlOptions.MEMBERS_BY_OPERATORS,
+          Instant.EPOCH);
 
   /** Ages and durations are rounded down to milliseconds one by one. */
   private static final long ROUNDING_MILLIS = 5;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * Time for which something was confirmed again and again without a gap, in its present stretch and
@@ -29,11 +30,23 @@
 
   /** Returns the time with one more confirmation; one before the last changes nothing. */
   public ConfirmedTime confirmed(Instant at) {
+    return confirmed(at, Optional.empty());
+  }
+
+  /**
+   * Returns the time with one more confirmation; one before the last changes nothing.
+   *
+   * @param expectedSince time from which on confirmations were to be expected, so that a gap in
+   *     them counts from then; if empty, no gap counts
+   */
+  public ConfirmedTime confirmed(Instant at, Optional<Instant> expectedSince) {
     if (!at.isAfter(last)) {
       return this;
     }
-    return at.isAfter(last.plus(MAX_GAP))
-        ? new ConfirmedTime(total(at), at, at)
+    Instant gapStart = last.plus(MAX_GAP);
+    Instant next = expectedSince.filter(at::isAfter).orElse(at);
+    return at.isAfter(gapStart) && next.isAfter(last)
+        ? new ConfirmedTime(total(at), next.isAfter(gapStart) ? next : gapStart, at)
         : new ConfirmedTime(earlierStretches, stretchStart, at);
   }
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/time/ConfirmedTimeTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/time/ConfirmedTimeTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class ConfirmedTimeTest {
@@ -48,6 +49,41 @@
         Duration.ofSeconds(2).plus(ConfirmedTime.MAX_GAP), time.total(NOW.plusSeconds(12)));
   }
 
+  /** Control lost at 1 s, started at 2 s, expected from 5 s on, confirms again at 11 s. */
+  @Test
+  void should_count_a_gap_from_the_time_at_which_confirmations_were_expected() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW)
+            .confirmed(NOW.plusSeconds(1))
+            .confirmed(NOW.plusSeconds(11), Optional.of(NOW.plusSeconds(5)));
+
+    assertEquals(Duration.ofSeconds(6), time.inStretchSince(NOW, NOW.plusSeconds(11)));
+    assertEquals(
+        Duration.ofSeconds(7).plus(ConfirmedTime.MAX_GAP), time.total(NOW.plusSeconds(11)));
+  }
+
+  @Test
+  void should_count_a_gap_that_comes_after_that_time_as_a_whole() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW)
+            .confirmed(NOW.plusSeconds(6), Optional.of(NOW.plusSeconds(5)))
+            .confirmed(NOW.plusSeconds(10), Optional.of(NOW.plusSeconds(5)));
+
+    assertEquals(Duration.ofSeconds(5), time.inStretchSince(NOW, NOW.plusSeconds(10)));
+    assertEquals(
+        Duration.ofSeconds(5).plus(ConfirmedTime.MAX_GAP), time.total(NOW.plusSeconds(10)));
+  }
+
+  @Test
+  void should_not_count_what_lies_before_a_confirmation_that_came_earlier_than_expected() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW)
+            .confirmed(NOW.plusSeconds(4), Optional.of(NOW.plusSeconds(5)));
+
+    assertEquals(Duration.ZERO, time.inStretchSince(NOW, NOW.plusSeconds(4)));
+    assertEquals(ConfirmedTime.MAX_GAP, time.total(NOW.plusSeconds(4)));
+  }
+
   @Test
   void should_ignore_a_confirmation_before_the_last() {
     ConfirmedTime time = ConfirmedTime.startingAt(NOW).confirmed(NOW.minusSeconds(5));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonRuntime.java
@@ -121,7 +121,7 @@
     String name = settings.daemon().name();
     boolean isControl = settings.daemon().roles().contains("control");
     if (isControl) {
-      localControl.open(settings, directory, log);
+      localControl.open(settings, directory, log, clock.instant());
     }
     PeerService peers =
         PeerService.start(network, ControlDirectory.parseAddress(settings.listen().peer()), log);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/LocalControl.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.geraniumwharf.schema.messages.PeerMessage;
 import org.geraniumwharf.schema.settings.ControlSettings;
 import org.geraniumwharf.schema.settings.DaemonSettings;
+import org.geraniumwharf.time.ProcessStart;
 
 /** The control instance of this process, if its roles ask for one. */
 final class LocalControl {
@@ -42,9 +44,9 @@
         .orElseGet(() -> opened.map(control -> !control.isNew()).orElse(false));
   }
 
-  void open(DaemonSettings settings, ControlDirectory directory, EventLog log)
+  void open(DaemonSettings settings, ControlDirectory directory, EventLog log, Instant now)
       throws ControlException {
-    opened = Optional.of(ControlInstances.open(options(settings, directory.names()), log));
+    opened = Optional.of(ControlInstances.open(options(settings, directory.names(), now), log));
   }
 
   /**
@@ -88,7 +90,8 @@
     }
   }
 
-  private static ControlOptions options(DaemonSettings settings, List<String> instances) {
+  private static ControlOptions options(
+      DaemonSettings settings, List<String> instances, Instant now) {
     ControlSettings control = settings.control();
     return new ControlOptions(
         settings.daemon().name(),
@@ -101,7 +104,8 @@
         Duration.ofMillis(control.daemonLeaseMillis()),
         Duration.ofSeconds(control.runRetentionSeconds()),
         control.maxRuns(),
-        ControlOptions.MEMBERS_BY_OPERATORS);
+        ControlOptions.MEMBERS_BY_OPERATORS,
+        ProcessStart.asOf(now));
   }
 
   /** Hands leadership over, stops and releases the data folder. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -13,6 +13,7 @@
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.time.ConfirmedTime;
+import org.geraniumwharf.time.ProcessStart;
 
 /**
  * The newest view. Readers never block; a message of a lower index than the view's changes nothing,
@@ -91,19 +92,19 @@
         recordNamedBefore(snapshot, now);
         replace(FleetSnapshot.of(snapshot.view()), snapshot.ageMillis(), now);
       }
-      return received(snapshot.view().index(), snapshot.ageMillis(), now);
+      return received(snapshot.view().index(), snapshot.ageMillis(), snapshot.upMillis(), now);
     }
     if (message instanceof WatchDelta delta) {
       if (delta.change().index() > current.index()) {
         replace(current.changed(delta.change()), delta.ageMillis(), now);
       }
-      return received(delta.change().index(), delta.ageMillis(), now);
+      return received(delta.change().index(), delta.ageMillis(), delta.upMillis(), now);
     }
     if (message instanceof WatchFreshness freshness) {
       if (freshness.index() > current.index()) {
         current = current.advanced(freshness.index());
       }
-      return received(freshness.index(), freshness.ageMillis(), now);
+      return received(freshness.index(), freshness.ageMillis(), freshness.upMillis(), now);
     }
     return new Received(0, Duration.ofDays(1));
   }
@@ -132,22 +133,23 @@
     }
   }
 
-  private Received received(long index, long ageMillis, Instant now) {
+  private Received received(long index, long ageMillis, Optional<Long> upMillis, Instant now) {
     Instant confirmed = now.minusMillis(ageMillis);
     if (index >= current.index() && confirmed.isAfter(freshAt)) {
       freshAt = confirmed;
       if (ageMillis < NEVER_CONFIRMED_MILLIS) {
-        recordConfirmed(confirmed);
+        recordConfirmed(
+            confirmed, upMillis.flatMap(up -> ProcessStart.servingSince(now.minusMillis(up), now)));
       }
     }
     return new Received(index, Duration.ofMillis(ageMillis));
   }
 
-  private void recordConfirmed(Instant confirmed) {
+  private void recordConfirmed(Instant confirmed, Optional<Instant> controlServingSince) {
     confirmedTime =
         Optional.of(
             confirmedTime
-                .map(time -> time.confirmed(confirmed))
+                .map(time -> time.confirmed(confirmed, controlServingSince))
                 .orElseGet(() -> ConfirmedTime.startingAt(confirmed)));
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -56,6 +56,7 @@
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.PeerMessage;
 import org.geraniumwharf.schema.messages.TargetWork;
+import org.geraniumwharf.time.ProcessStart;
 
 /** One process of a relaying fleet: starts its parts in order and shuts them down gracefully. */
 public final class NodeRuntime implements AutoCloseable {
@@ -283,7 +284,8 @@
         DAEMON_LEASE,
         RUN_RETENTION,
         MAX_RUNS,
-        settings.tolerated());
+        settings.tolerated(),
+        ProcessStart.asOf(clock.instant()));
   }
 
   private void startEntry() throws InterruptedException {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
@@ -24,7 +25,11 @@
       List<PublishedObject> objects, List<TargetRecord> targets, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, objects, targets, List.of(), List.of()), 0, List.of()),
+        WatchSnapshot.of(
+            FleetView.of(1, 1, objects, targets, List.of(), List.of()),
+            0,
+            Optional.empty(),
+            List.of()),
         now);
     return holder;
   }
@@ -43,18 +48,28 @@
       Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
-        WatchSnapshot.of(FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, named),
+        WatchSnapshot.of(
+            FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, Optional.empty(), named),
         now);
     return holder;
   }
 
+  /** Tells a holder that its view is the newest, from a control process that was started lately. */
+  public static void confirm(FleetViewHolder holder, Duration up, Instant now) {
+    holder.apply(
+        WatchFreshness.of(holder.current().index(), 0, Optional.of(up.toMillis()), List.of()), now);
+  }
+
   /** Replaces a view by one of engines and of the weights that operators name, at a later index. */
   public static void replaceWeights(
       FleetViewHolder holder, List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     long index = holder.current().index() + 1;
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(index, 1, List.of(), targets, List.of(), weights), 0, List.of()),
+            FleetView.of(index, 1, List.of(), targets, List.of(), weights),
+            0,
+            Optional.empty(),
+            List.of()),
         now);
   }
 
@@ -63,13 +78,15 @@
       List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
     FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights);
-    holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, List.of()), now);
+    holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, Optional.empty(), List.of()), now);
     return holder;
   }
 
   /** Tells a holder that its view is still the newest of a control instance without a leader. */
   public static void tellNeverConfirmed(FleetViewHolder holder, Instant now) {
     holder.apply(
-        WatchFreshness.of(holder.current().index(), NEVER_CONFIRMED_MILLIS, List.of()), now);
+        WatchFreshness.of(
+            holder.current().index(), NEVER_CONFIRMED_MILLIS, Optional.empty(), List.of()),
+        now);
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.messages.WatchDelta;
@@ -35,7 +36,7 @@
     holder.apply(snapshot(10, 4), NOW);
 
     holder.apply(snapshot(9, 3), NOW);
-    holder.apply(WatchDelta.of(change(8, 3), 0), NOW);
+    holder.apply(WatchDelta.of(change(8, 3), 0, Optional.empty()), NOW);
 
     assertEquals(10, holder.current().index());
     assertEquals(4, holder.current().configuration().version());
@@ -44,7 +45,7 @@
   @Test
   void should_apply_changes_in_order() {
     holder.apply(snapshot(10, 4), NOW);
-    holder.apply(WatchDelta.of(change(12, 5), 0), NOW);
+    holder.apply(WatchDelta.of(change(12, 5), 0, Optional.empty()), NOW);
 
     assertEquals(5, holder.current().configuration().version());
     assertTrue(holder.current().configuration().service("added").isPresent());
@@ -72,7 +73,7 @@
     boolean isReadyUnconfirmed = readiness.isReady(NOW);
     readiness.confirmed(11);
     boolean isReadyBehind = readiness.isReady(NOW);
-    holder.apply(WatchFreshness.of(11, 0, List.of()), NOW);
+    holder.apply(WatchFreshness.of(11, 0, Optional.empty(), List.of()), NOW);
 
     assertFalse(isReadyUnconfirmed);
     assertFalse(isReadyBehind);
@@ -111,7 +112,7 @@
   void should_turn_unready_when_the_view_is_stale_for_the_lease() {
     holder.apply(snapshot(10, 4), NOW);
     readiness.confirmed(10);
-    holder.apply(WatchFreshness.of(10, 400_000, List.of()), NOW.plusSeconds(4));
+    holder.apply(WatchFreshness.of(10, 400_000, Optional.empty(), List.of()), NOW.plusSeconds(4));
 
     assertTrue(readiness.isReady(NOW.plusMillis(4900)));
     assertFalse(readiness.isReady(NOW.plusSeconds(5)));
@@ -132,7 +133,10 @@
 
   private static WatchSnapshot snapshot(long index, long version) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0, List.of());
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
+        0,
+        Optional.empty(),
+        List.of());
   }
 
   private static ViewChange change(long index, long version) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
@@ -72,7 +72,7 @@
             TERM, SEQUENCE, "drafting", "v2", List.of(), List.of("v1"), true, "weights", 0);
     TargetRecord record = TargetRecord.of(announcement(1), false, Optional.of(order));
     FleetView view = FleetView.of(1, 1, List.of(), List.of(record), List.of(), List.of());
-    holder.apply(WatchSnapshot.of(view, 0, List.of()), NOW);
+    holder.apply(WatchSnapshot.of(view, 0, Optional.empty(), List.of()), NOW);
   }
 
   private static Announcement announcement(long incarnation) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
@@ -104,7 +104,7 @@
     ViewChange change =
         ViewChange.of(
             index() - 1, index(), version, List.of(), List.of(), List.of(), List.of(), List.of());
-    watchers.removeIf(sink -> !sink.offer(WatchDelta.of(change, ageMillis())));
+    watchers.removeIf(sink -> !sink.offer(WatchDelta.of(change, ageMillis(), Optional.empty())));
   }
 
   private long index() {
@@ -118,13 +118,14 @@
   }
 
   private void tellFreshness() {
-    watchers.removeIf(sink -> !sink.offer(WatchFreshness.of(index(), ageMillis(), List.of())));
+    watchers.removeIf(
+        sink -> !sink.offer(WatchFreshness.of(index(), ageMillis(), Optional.empty(), List.of())));
   }
 
   @Override
   public void watch(long afterIndex, ViewSink sink) {
     FleetView view = FleetView.of(index(), version, List.of(), List.of(), List.of(), List.of());
-    if (sink.offer(WatchSnapshot.of(view, ageMillis(), List.of()))) {
+    if (sink.offer(WatchSnapshot.of(view, ageMillis(), Optional.empty(), List.of()))) {
       watchers.add(sink);
     }
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
@@ -42,7 +43,7 @@
   @Test
   void should_log_for_how_long_the_view_before_had_not_been_confirmed() {
     holder.apply(snapshot(10, 4, 0), NOW);
-    holder.apply(WatchFreshness.of(10, 100, List.of()), NOW.plusMillis(400));
+    holder.apply(WatchFreshness.of(10, 100, Optional.empty(), List.of()), NOW.plusMillis(400));
     lines.clear();
 
     holder.watching("control-2");
@@ -84,6 +85,7 @@
     return WatchSnapshot.of(
         FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
         ageMillis,
+        Optional.empty(),
         List.of());
   }
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -135,6 +135,31 @@
         Optional.of(Duration.ofMillis(3500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(21)));
   }
 
+  /**
+   * Guards against requests on replaced weights after a loss of all control, whose processes took
+   * long to serve after they were started.
+   */
+  @Test
+  void should_count_the_time_in_which_control_was_started_and_did_not_serve() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant startedAt = NOW.plusSeconds(2);
+    Instant served = startedAt.plusSeconds(8);
+
+    FleetFixtures.confirm(holder, Duration.between(startedAt, served), served);
+
+    assertTrue(limit.isOverdue(OLD, served));
+  }
+
+  @Test
+  void should_not_count_the_time_without_control_that_was_not_started_lately() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant served = NOW.plusSeconds(10);
+
+    FleetFixtures.confirm(holder, Duration.ofMinutes(5), served);
+
+    assertFalse(limit.isOverdue(OLD, served));
+  }
+
   private Instant confirmFor(Duration duration) {
     Instant end = NOW.plus(duration);
     for (Instant at = NOW; !at.isAfter(end); at = at.plusMillis(500)) {
