--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -5,12 +5,15 @@
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.geraniumwharf.control.ViewSink;
 import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.schema.view.ViewChange;
 
 /**
@@ -23,16 +26,30 @@
   private static final int MAX_RETAINED_CHANGES = 4096;
 
   private final Supplier<FleetView> view;
+  private final Supplier<List<NamedDuration>> named;
   private final Supplier<List<String>> members;
+  private final LongSupplier upMillis;
   private final Deque<ViewChange> retainedChanges = new ArrayDeque<>();
   private final List<ViewSink> watchers = new ArrayList<>();
   private final List<WaitingWatcher> waitingWatchers = new ArrayList<>();
   private long retainedAfter;
   private long index;
 
-  ViewStream(Supplier<FleetView> view, Supplier<List<String>> members) {
+  /**
+   * Creates a stream without watchers.
+   *
+   * @param named how long versions of weights had been named when the view was last confirmed
+   * @param upMillis time since the process was started
+   */
+  ViewStream(
+      Supplier<FleetView> view,
+      Supplier<List<NamedDuration>> named,
+      Supplier<List<String>> members,
+      LongSupplier upMillis) {
     this.view = view;
+    this.named = named;
     this.members = members;
+    this.upMillis = upMillis;
   }
 
   /**
@@ -52,14 +69,14 @@
 
   private boolean sendMissedChanges(long afterIndex, ViewSink sink, long ageMillis) {
     if (afterIndex == 0 || afterIndex < retainedAfter) {
-      return sink.offer(WatchSnapshot.of(view.get(), ageMillis));
+      return sink.offer(snapshot(ageMillis));
     }
     for (ViewChange change : retainedChanges) {
-      if (change.index() > afterIndex && !sink.offer(WatchDelta.of(change, ageMillis))) {
+      if (change.index() > afterIndex && !sink.offer(delta(change, ageMillis))) {
         return false;
       }
     }
-    return sink.offer(WatchFreshness.of(index, ageMillis, members.get()));
+    return sink.offer(freshness(ageMillis));
   }
 
   /** Retains a change of the view and sends it to every watcher. */
@@ -69,14 +86,13 @@
     if (retainedChanges.size() > MAX_RETAINED_CHANGES) {
       retainedAfter = retainedChanges.removeFirst().index();
     }
-    watchers.removeIf(sink -> !sink.offer(WatchDelta.of(change, ageMillis)));
+    watchers.removeIf(sink -> !sink.offer(delta(change, ageMillis)));
   }
 
   /** Sends the applied index and its age to every watcher, and admits those that wait for it. */
   void sendFreshness(long appliedIndex, long ageMillis) {
     index = appliedIndex;
-    watchers.removeIf(
-        sink -> !sink.offer(WatchFreshness.of(appliedIndex, ageMillis, members.get())));
+    watchers.removeIf(sink -> !sink.offer(freshness(ageMillis)));
     admitWaiting(ageMillis);
   }
 
@@ -98,7 +114,23 @@
     index = newIndex;
     retainedAfter = newIndex;
     retainedChanges.clear();
-    watchers.removeIf(sink -> !sink.offer(WatchSnapshot.of(view.get(), ageMillis)));
+    watchers.removeIf(sink -> !sink.offer(snapshot(ageMillis)));
+  }
+
+  private WatchSnapshot snapshot(long ageMillis) {
+    return WatchSnapshot.of(view.get(), ageMillis, up(), named.get());
+  }
+
+  private WatchDelta delta(ViewChange change, long ageMillis) {
+    return WatchDelta.of(change, ageMillis, up());
+  }
+
+  private WatchFreshness freshness(long ageMillis) {
+    return WatchFreshness.of(index, ageMillis, up(), members.get());
+  }
+
+  private Optional<Long> up() {
+    return Optional.of(upMillis.getAsLong());
   }
 
   private record WaitingWatcher(long afterIndex, ViewSink sink) {}
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.raft.RaftCore;
 import org.geraniumwharf.internal.raft.RaftInitialState;
@@ -31,6 +32,7 @@
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.NameWeightsCall;
 import org.geraniumwharf.schema.messages.NotLeader;
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishCall;
@@ -41,6 +43,7 @@
 import org.geraniumwharf.schema.state.HardState;
 import org.geraniumwharf.schema.state.LogEntry;
 import org.geraniumwharf.schema.state.Membership;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -58,7 +61,11 @@
           Duration.ofSeconds(5),
           Duration.ofHours(1),
           1000,
-          ControlOptions.MEMBERS_BY_OPERATORS);
+          ControlOptions.MEMBERS_BY_OPERATORS,
+          Instant.EPOCH);
+
+  /** Ages and durations are rounded down to milliseconds one by one. */
+  private static final long ROUNDING_MILLIS = 5;
 
   private static final long CALL_INTERVAL_NANOS = 20_000;
 
@@ -121,6 +128,44 @@
     assertEquals(2, ((WatchDelta) next).change().configurationVersion());
   }
 
+  @Test
+  void should_tell_a_new_watcher_how_long_weights_have_been_named() throws Exception {
+    publishUntilLeading(0, "first");
+    watchUntil(view -> view.ageMillis() < Duration.ofDays(1).toMillis());
+    long before = System.nanoTime();
+    runner.call(NameWeightsCall.of("model", 2)).get(30, SECONDS);
+    long named = System.nanoTime();
+    LockSupport.parkNanos(Duration.ofMillis(300).toNanos());
+
+    long watched = System.nanoTime();
+    WatchSnapshot snapshot = watchUntil(view -> !view.named().isEmpty());
+
+    NamedDuration told = snapshot.named().get(0);
+    long most = Duration.ofNanos(System.nanoTime() - before).toMillis();
+    long least = Duration.ofNanos(watched - named).toMillis() - ROUNDING_MILLIS;
+    assertEquals(2, told.version());
+    assertTrue(told.totalMillis() <= most, "" + told);
+    assertEquals(told.stretchMillis(), told.totalMillis());
+    assertTrue(told.totalMillis() + snapshot.ageMillis() >= least, "" + snapshot);
+  }
+
+  /** Takes a message and ends the watch. */
+  private static boolean takeOnly(BlockingQueue<ControlAnswer> stream, ControlAnswer message) {
+    stream.add(message);
+    return false;
+  }
+
+  private WatchSnapshot watchUntil(Predicate<WatchSnapshot> isMet) throws InterruptedException {
+    BlockingQueue<ControlAnswer> stream = new LinkedBlockingQueue<>();
+    WatchSnapshot snapshot;
+    do {
+      stream.clear();
+      runner.watch(0, message -> takeOnly(stream, message));
+      snapshot = (WatchSnapshot) stream.poll(30, SECONDS);
+    } while (!isMet.test(snapshot));
+    return snapshot;
+  }
+
   @Test
   void should_save_a_snapshot_after_the_set_number_of_entries() throws Exception {
     publishUntilLeading(0, "publish-0");
@@ -149,7 +194,7 @@
   }
 
   private static CrashEvidence crash(String target) {
-    return CrashEvidence.of(target, 1, List.of("part"));
+    return CrashEvidence.of(target, 1, List.of("part"), false);
   }
 
   private HeartbeatAnswer heartbeat(
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -5,15 +5,20 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.Service;
 import org.geraniumwharf.schema.view.FleetView;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.schema.view.ViewChange;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +36,7 @@
     holder.apply(snapshot(10, 4), NOW);
 
     holder.apply(snapshot(9, 3), NOW);
-    holder.apply(WatchDelta.of(change(8, 3), 0), NOW);
+    holder.apply(WatchDelta.of(change(8, 3), 0, Optional.empty()), NOW);
 
     assertEquals(10, holder.current().index());
     assertEquals(4, holder.current().configuration().version());
@@ -40,7 +45,7 @@
   @Test
   void should_apply_changes_in_order() {
     holder.apply(snapshot(10, 4), NOW);
-    holder.apply(WatchDelta.of(change(12, 5), 0), NOW);
+    holder.apply(WatchDelta.of(change(12, 5), 0, Optional.empty()), NOW);
 
     assertEquals(5, holder.current().configuration().version());
     assertTrue(holder.current().configuration().service("added").isPresent());
@@ -68,18 +73,46 @@
     boolean isReadyUnconfirmed = readiness.isReady(NOW);
     readiness.confirmed(11);
     boolean isReadyBehind = readiness.isReady(NOW);
-    holder.apply(WatchFreshness.of(11, 0, List.of()), NOW);
+    holder.apply(WatchFreshness.of(11, 0, Optional.empty(), List.of()), NOW);
 
     assertFalse(isReadyUnconfirmed);
     assertFalse(isReadyBehind);
     assertTrue(readiness.isReady(NOW));
   }
 
+  @Test
+  void should_keep_what_the_first_view_told_of_names_and_the_time_of_its_confirmation() {
+    List<NamedDuration> told = List.of(NamedDuration.of("model", 2, 3000, 3000));
+    holder.apply(snapshot(10, 4).withNamed(told).withAgeMillis(400), NOW);
+
+    holder.apply(
+        snapshot(12, 5).withNamed(List.of(NamedDuration.of("model", 2, 9000, 9000))),
+        NOW.plusSeconds(6));
+
+    assertEquals(told, holder.namedBefore().durations());
+    assertEquals(NOW.minusMillis(400), holder.namedBefore().confirmedAt());
+  }
+
+  // A control instance of a build before this field is among those that entries watch.
+  @Test
+  void should_know_nothing_of_names_from_a_view_that_tells_nothing() throws IOException {
+    String text =
+        "{\"type\":\"watch-snapshot\",\"ageMillis\":0,\"view\":"
+            + "{\"index\":10,\"configurationVersion\":4,\"objects\":[],\"targets\":[]}}";
+    WatchSnapshot snapshot =
+        Codec.json().decode(text.getBytes(StandardCharsets.UTF_8), WatchSnapshot.class);
+
+    holder.apply(snapshot, NOW);
+
+    assertEquals(10, holder.current().index());
+    assertEquals(List.of(), holder.namedBefore().durations());
+  }
+
   @Test
   void should_turn_unready_when_the_view_is_stale_for_the_lease() {
     holder.apply(snapshot(10, 4), NOW);
     readiness.confirmed(10);
-    holder.apply(WatchFreshness.of(10, 400_000, List.of()), NOW.plusSeconds(4));
+    holder.apply(WatchFreshness.of(10, 400_000, Optional.empty(), List.of()), NOW.plusSeconds(4));
 
     assertTrue(readiness.isReady(NOW.plusMillis(4900)));
     assertFalse(readiness.isReady(NOW.plusSeconds(5)));
@@ -100,7 +133,10 @@
 
   private static WatchSnapshot snapshot(long index, long version) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()), 0);
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
+        0,
+        Optional.empty(),
+        List.of());
   }
 
   private static ViewChange change(long index, long version) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.schema.state.NamedWeights;
+import org.geraniumwharf.schema.view.NamedDuration;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +44,21 @@
     assertFalse(limit.isOverdue(PLAIN, later));
   }
 
+  @Test
+  void should_add_the_time_before_the_start_that_the_first_view_told() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfWeights(
+            List.of(), List.of(named(2)), List.of(NamedDuration.of("model", 2, 3000, 3000)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+
+    assertEquals(
+        Optional.of(Duration.ofMillis(500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(1)));
+    assertTrue(limitAfterStart.isOverdue(OLD, NOW.plusMillis(1500)));
+    assertFalse(limitAfterStart.isOverdue(NEW, NOW.plusMillis(1500)));
+  }
+
   @Test
   void should_take_the_names_of_later_views() {
     FleetFixtures.replaceWeights(holder, List.of(), List.of(named(3)), NOW.plusSeconds(1));
@@ -71,6 +87,27 @@
     assertTrue(metrics.prometheusText().contains("weights_overdue_total{kind=\"target\"} 1"));
   }
 
+  /** Guards against a set that keeps an entry for each version that an engine ever held. */
+  @Test
+  void should_forget_an_excluded_target_that_holds_other_weights_now() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+    limit.isOverdue(OLD, later);
+
+    limit.retainTargets(List.of(target("engine-1", 2)));
+
+    assertEquals(0, limit.overdueCount());
+  }
+
+  @Test
+  void should_keep_an_excluded_target_that_is_still_there() {
+    Instant later = confirmFor(Duration.ofSeconds(5));
+    limit.isOverdue(OLD, later);
+
+    limit.retainTargets(List.of(OLD, NEW));
+
+    assertEquals(1, limit.overdueCount());
+  }
+
   @Test
   void should_report_that_no_target_may_be_used_only_if_there_are_any() {
     Instant later = confirmFor(Duration.ofSeconds(5));
@@ -80,6 +117,49 @@
     assertFalse(limit.isEveryOverdue(List.of(), later));
   }
 
+  // Guards against engines that are excluded before any order can have been given.
+  @Test
+  void should_not_count_a_view_that_was_never_confirmed() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfNeverConfirmed(List.of(), List.of(named(2)), NOW);
+    WeightsLimit limitAfterStart =
+        WeightsLimit.create(
+            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+    for (Instant at = NOW; at.isBefore(NOW.plusSeconds(20)); at = at.plusMillis(250)) {
+      FleetFixtures.tellNeverConfirmed(started, at);
+    }
+    FleetFixtures.replaceWeights(started, List.of(), List.of(named(2)), NOW.plusSeconds(20));
+
+    assertFalse(limitAfterStart.isOverdue(OLD, NOW.plusSeconds(20)));
+    assertEquals(
+        Optional.of(Duration.ofMillis(3500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(21)));
+  }
+
+  /**
+   * Guards against requests on replaced weights after a loss of all control, whose processes took
+   * long to serve after they were started.
+   */
+  @Test
+  void should_count_the_time_in_which_control_was_started_and_did_not_serve() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant startedAt = NOW.plusSeconds(2);
+    Instant served = startedAt.plusSeconds(8);
+
+    FleetFixtures.confirm(holder, Duration.between(startedAt, served), served);
+
+    assertTrue(limit.isOverdue(OLD, served));
+  }
+
+  @Test
+  void should_not_count_the_time_without_control_that_was_not_started_lately() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant served = NOW.plusSeconds(10);
+
+    FleetFixtures.confirm(holder, Duration.ofMinutes(5), served);
+
+    assertFalse(limit.isOverdue(OLD, served));
+  }
+
   private Instant confirmFor(Duration duration) {
     Instant end = NOW.plus(duration);
     for (Instant at = NOW; !at.isAfter(end); at = at.plusMillis(500)) {
