Count the start of control for entries that were started with it

Cause: an entry without a confirmed view counted names from when it learned them, and its time from its first confirmation. Its first view comes in pieces of a control process that has no leader yet, which tell no ages. It excluded the weights 4.5 s after its first confirmation (at 37.3 s of the soak's clock), 9.4 s after the time from which the platform counts (27.9 s).

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
@@ -61,9 +61,12 @@
       Duration toldInStretch,
       Duration toldInTotal) {
 
-    /** A view that was confirmed without the version shows that it was named later. */
-    static Name of(long version, Optional<ConfirmedTime> confirmed, Instant now) {
-      Instant notBefore = confirmed.map(ConfirmedTime::last).orElse(now);
+    /**
+     * A view that was confirmed without the version shows that it was named later. Without such a
+     * view it may have been named at any time before.
+     */
+    static Name of(long version, Optional<ConfirmedTime> confirmed) {
+      Instant notBefore = confirmed.map(ConfirmedTime::last).orElse(Instant.MIN);
       return new Name(
           version, notBefore, total(confirmed, notBefore), Duration.ZERO, Duration.ZERO);
     }
@@ -114,8 +117,8 @@
    * @param confirmed confirmations of earlier views; empty if there was none
    */
   public synchronized void recordNamed(
-      String model, long version, Optional<ConfirmedTime> confirmed, Instant now) {
-    record(model, Name.of(version, confirmed, now));
+      String model, long version, Optional<ConfirmedTime> confirmed) {
+    record(model, Name.of(version, confirmed));
   }
 
   /**
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
@@ -214,7 +214,7 @@
         ReplacedWeights.within(new ReplacedWeights.Bounds(IN_STRETCH, IN_TOTAL));
     told.atLastConfirmation(confirmed)
         .forEach(named -> started.recordNamedBefore(named, Optional.empty(), at));
-    started.recordNamed(MODEL, 2, Optional.empty(), now);
+    started.recordNamed(MODEL, 2, Optional.empty());
     Optional<ConfirmedTime> since = Optional.of(ConfirmedTime.startingAt(at));
 
     for (int step = 0; step < 60; step++) {
@@ -230,7 +230,7 @@
   }
 
   private void name(long version) {
-    weights.recordNamed(MODEL, version, confirmed, now);
+    weights.recordNamed(MODEL, version, confirmed);
   }
 
   private void confirmFor(Duration duration) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -146,11 +146,12 @@
   }
 
   private void recordConfirmed(Instant confirmed, Optional<Instant> controlServingSince) {
+    Instant first = controlServingSince.filter(confirmed::isAfter).orElse(confirmed);
     confirmedTime =
         Optional.of(
             confirmedTime
-                .map(time -> time.confirmed(confirmed, controlServingSince))
-                .orElseGet(() -> ConfirmedTime.startingAt(confirmed)));
+                .orElseGet(() -> ConfirmedTime.startingAt(first))
+                .confirmed(confirmed, controlServingSince));
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -104,8 +104,7 @@
       EventLog log,
       InstantSource clock) {
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
-    WeightsLimit weights =
-        WeightsLimit.create(holder, rules.weights(), metrics, log, clock.instant());
+    WeightsLimit weights = WeightsLimit.create(holder, rules.weights(), metrics, log);
     RelayState relay =
         new RelayState(
             admission,
@@ -122,7 +121,7 @@
     holder.onChange(
         (before, after) -> {
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
-          weights.recordNamed(after, relay.now());
+          weights.recordNamed(after);
           weights.retainTargets(admission.routing().targets());
           relay.wakeAllQueued();
         });
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
@@ -40,24 +40,20 @@
 
   /** Creates a limit that knows the weights that the present view names. */
   static WeightsLimit create(
-      FleetViewHolder holder,
-      ReplacedWeights.Bounds bounds,
-      DaemonMetrics metrics,
-      EventLog log,
-      Instant now) {
+      FleetViewHolder holder, ReplacedWeights.Bounds bounds, DaemonMetrics metrics, EventLog log) {
     WeightsLimit limit = new WeightsLimit(holder, ReplacedWeights.within(bounds), metrics, log);
-    limit.recordNamed(holder.current(), now);
+    limit.recordNamed(holder.current());
     return limit;
   }
 
   /** Takes the weights that a new view names. */
-  void recordNamed(FleetSnapshot view, Instant now) {
+  void recordNamed(FleetSnapshot view) {
     FleetViewHolder.NamedBefore before = holder.namedBefore();
     for (NamedDuration named : before.durations()) {
       replaced.recordNamedBefore(named, holder.confirmedTime(), before.confirmedAt());
     }
     for (NamedWeights named : view.namedWeights()) {
-      replaced.recordNamed(named.model(), named.version(), holder.confirmedTime(), now);
+      replaced.recordNamed(named.model(), named.version(), holder.confirmedTime());
     }
   }
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -33,7 +33,7 @@
   private final FleetViewHolder holder =
       FleetFixtures.holderOfWeights(List.of(), List.of(named(2)), NOW);
   private final WeightsLimit limit =
-      WeightsLimit.create(holder, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+      WeightsLimit.create(holder, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines));
 
   @Test
   void should_exclude_a_target_whose_weights_the_first_view_already_replaced() {
@@ -50,8 +50,7 @@
         FleetFixtures.holderOfWeights(
             List.of(), List.of(named(2)), List.of(NamedDuration.of("model", 2, 3000, 3000)), NOW);
     WeightsLimit limitAfterStart =
-        WeightsLimit.create(
-            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+        WeightsLimit.create(started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines));
 
     assertEquals(
         Optional.of(Duration.ofMillis(500)), limitAfterStart.timeLeft(OLD, NOW.plusSeconds(1)));
@@ -62,7 +61,7 @@
   @Test
   void should_take_the_names_of_later_views() {
     FleetFixtures.replaceWeights(holder, List.of(), List.of(named(3)), NOW.plusSeconds(1));
-    limit.recordNamed(holder.current(), NOW.plusSeconds(1));
+    limit.recordNamed(holder.current());
 
     Optional<Duration> left = limit.timeLeft(NEW, NOW.plusSeconds(2));
 
@@ -123,8 +122,7 @@
     FleetViewHolder started =
         FleetFixtures.holderOfNeverConfirmed(List.of(), List.of(named(2)), NOW);
     WeightsLimit limitAfterStart =
-        WeightsLimit.create(
-            started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines), NOW);
+        WeightsLimit.create(started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines));
     for (Instant at = NOW; at.isBefore(NOW.plusSeconds(20)); at = at.plusMillis(250)) {
       FleetFixtures.tellNeverConfirmed(started, at);
     }
@@ -150,6 +148,22 @@
     assertTrue(limit.isOverdue(OLD, served));
   }
 
+  /**
+   * Guards against the same after a loss of all processes: an entry that has just started gets its
+   * view in pieces before any is confirmed, and learns from none when a version was named.
+   */
+  @Test
+  void should_count_the_start_of_control_for_an_entry_that_was_started_too() {
+    FleetViewHolder started =
+        FleetFixtures.holderOfNeverConfirmed(List.of(), List.of(named(2)), NOW);
+    WeightsLimit startedLimit =
+        WeightsLimit.create(started, ReplacedWeights.Bounds.DEFAULT, metrics, new LineLog(lines));
+
+    FleetFixtures.confirm(started, Duration.ofSeconds(8), NOW.plusMillis(100));
+
+    assertTrue(startedLimit.isOverdue(OLD, NOW.plusMillis(100)));
+  }
+
   @Test
   void should_not_count_the_time_without_control_that_was_not_started_lately() {
     confirmFor(Duration.ofSeconds(1));
