--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/limit/TargetPermits.java
@@ -133,6 +133,11 @@
         .filter(stock -> stock.limit().incarnation() == incarnation);
   }
 
+  /** Returns whether any target has a limit. */
+  public synchronized boolean isAnyLimited() {
+    return !stocks.isEmpty();
+  }
+
   /** Returns whether a request may be sent to a target, which has no limit or a permit left. */
   public synchronized boolean isAvailable(String target, long incarnation, Instant now) {
     return stock(target, incarnation).map(stock -> stock.isAvailable(instances, now)).orElse(true);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/CachedParts.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/CachedParts.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.relay;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,18 +32,35 @@
     }
   }
 
-  /** Returns the length of the longest cached prefix of a prompt, tokens. */
-  int cachedTokens(String scope, List<PromptPart> parts) {
+  /**
+   * Returns the length of the longest cached prefix of a prompt, tokens.
+   *
+   * @param keys {@linkplain #keys keys} of the parts
+   */
+  int cachedTokens(List<String> keys, List<PromptPart> parts) {
     int cached = 0;
-    for (PromptPart part : parts) {
-      if (!tokensByPart.containsKey(key(scope, part))) {
+    for (int i = 0; i < keys.size(); i++) {
+      if (!tokensByPart.containsKey(keys.get(i))) {
         return cached;
       }
-      cached += part.tokens();
+      cached += parts.get(i).tokens();
     }
     return cached;
   }
 
+  boolean isEmpty() {
+    return tokensByPart.isEmpty();
+  }
+
+  /** Returns the keys of the parts of a prompt, in order. */
+  static List<String> keys(String scope, List<PromptPart> parts) {
+    List<String> keys = new ArrayList<>(parts.size());
+    for (PromptPart part : parts) {
+      keys.add(key(scope, part));
+    }
+    return keys;
+  }
+
   void clear() {
     tokensByPart.clear();
     tokens = 0;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -4,13 +4,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Function;
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.schema.messages.TargetWork;
 
@@ -27,7 +25,6 @@
   private static final TargetWork NO_LOAD = TargetWork.of("", 0, 0, 0);
 
   private final Map<String, Entry> entries = new HashMap<>();
-  private final Map<String, TargetWork> remoteLoad = new HashMap<>();
   private final TargetAvailability availability;
   private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
@@ -65,11 +62,11 @@
    * @param hasRemoteReport whether the remote load is recent enough to be included; otherwise only
    *     the local load is counted
    * @param cachedTokens tokens of the prompt that the target probably has cached
-   * @param isEjected whether the target gets no requests because of recent failures or rejections
-   * @param mayBeProbed whether the target, if it is ejected, may get one request nevertheless
-   * @param isAccepting whether the target has not announced in its responses that it is leaving or
-   *     wants no requests
-   * @param hasPermit whether the target has no limit or a request to it is permitted now
+   * @param closed exclusion by what the target announced in its responses
+   * @param ejected exclusion because of recent failures or rejections
+   * @param probeFrom time from which the target, if it is ejected, may get one request nevertheless
+   * @param isIdle whether this instance has no request at the target
+   * @param atLimit exclusion because the target has a limit and no request to it is permitted now
    */
   public record Load(
       int inFlight,
@@ -77,10 +74,17 @@
       long backlogMillis,
       boolean hasRemoteReport,
       int cachedTokens,
-      boolean isEjected,
-      boolean mayBeProbed,
-      boolean isAccepting,
-      boolean hasPermit) {}
+      Optional<Exclusion> closed,
+      Optional<Exclusion> ejected,
+      Instant probeFrom,
+      boolean isIdle,
+      Optional<Exclusion> atLimit) {
+
+    /** Returns whether the target, if it is ejected, may get one request nevertheless. */
+    boolean mayBeProbed(Instant now) {
+      return isIdle && !now.isBefore(probeFrom);
+    }
+  }
 
   /** Returns what this instance knows of the limits of targets. */
   public TargetPermits permits() {
@@ -88,24 +92,56 @@
   }
 
   /** Returns the load of a target for one request. */
-  public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
-    Entry entry = entry(target.id());
-    int cachedTokens =
-        resolved.isGeneration()
-            ? entry.parts.cachedTokens(resolved.cacheScope(target), resolved.request().prompt())
-            : 0;
+  public Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
+    EngineRates noRates = new EngineRates(1, 1);
+    return loads(new PlacementQuery(resolved, List.of(target), Set.of(), 1, 0, noRates, now))[0];
+  }
+
+  /** Returns the load of each target of a query, in order. */
+  synchronized Load[] loads(PlacementQuery query) {
+    Instant now = query.now();
     boolean hasRemoteReport = now.isBefore(remoteLoadExpiresAt);
-    TargetWork remote = hasRemoteReport ? remoteLoad.getOrDefault(target.id(), NO_LOAD) : NO_LOAD;
+    boolean isAnyLimited = permits.isAnyLimited();
+    List<RelayTarget> targets = query.targets();
+    Load[] loads = new Load[targets.size()];
+    for (int i = 0; i < loads.length; i++) {
+      loads[i] = load(query, targets.get(i), hasRemoteReport, isAnyLimited, now);
+    }
+    return loads;
+  }
+
+  private Load load(
+      PlacementQuery query,
+      RelayTarget target,
+      boolean hasRemoteReport,
+      boolean isAnyLimited,
+      Instant now) {
+    Entry entry = entry(target.id());
+    TargetWork remote = hasRemoteReport ? entry.remote : NO_LOAD;
     return new Load(
         entry.inFlight + remote.requests(),
         entry.footprint + remote.tokens(),
         entry.backlogMillis + remote.backlogMillis(),
         hasRemoteReport,
-        cachedTokens,
-        entry.health.isEjected(now),
-        entry.inFlight == 0 && entry.health.mayBeProbed(now),
-        availability.isAccepting(target, entry.inFlight, now),
-        permits.isAvailable(target.id(), target.incarnation(), now));
+        cachedTokens(query, target, entry.parts),
+        availability.exclusion(target, entry.inFlight, now),
+        entry.health.exclusion(now),
+        entry.health.probeFrom(),
+        entry.inFlight == 0,
+        isAnyLimited ? limitExclusion(target, now) : Optional.empty());
+  }
+
+  private static int cachedTokens(PlacementQuery query, RelayTarget target, CachedParts parts) {
+    return !query.isGeneration() || parts.isEmpty()
+        ? 0
+        : parts.cachedTokens(query.partKeys().at(target), query.request().request().prompt());
+  }
+
+  private Optional<Exclusion> limitExclusion(RelayTarget target, Instant now) {
+    return permits.isAvailable(target.id(), target.incarnation(), now)
+        ? Optional.empty()
+        : Exclusion.until(
+            Exclusion.Reason.NO_PERMIT, permits.earliestAt(target.id(), target.incarnation(), now));
   }
 
   /** Returns the load of this instance, as it is reported to the other instances. */
@@ -122,8 +158,12 @@
 
   /** Replaces the remote load by the sum that all other instances reported. */
   public synchronized void setRemoteLoad(List<TargetWork> work, Instant now) {
-    remoteLoad.clear();
-    work.forEach(load -> remoteLoad.put(load.target(), load));
+    for (Entry entry : entries.values()) {
+      entry.remote = NO_LOAD;
+    }
+    for (TargetWork load : work) {
+      entry(load.target()).remote = load;
+    }
     remoteLoadExpiresAt = now.plus(REMOTE_LOAD_VALIDITY);
   }
 
@@ -193,41 +233,9 @@
     return availability.isClosed(target, now);
   }
 
-  /**
-   * Returns when the first of some targets is expected to accept a request and to have a permit for
-   * it; empty if all are leaving.
-   */
-  public synchronized Optional<Instant> opensAt(
-      Collection<RelayTarget> targets, String requestId, Instant now) {
-    return firstOpening(
-        targets,
-        target -> permits.expectedAt(target.id(), target.incarnation(), requestId, now),
-        now);
-  }
-
-  /**
-   * Returns the time before which none of some targets gets a request that waits; empty if all are
-   * leaving.
-   */
-  public synchronized Optional<Instant> earliestAt(Collection<RelayTarget> targets, Instant now) {
-    return firstOpening(
-        targets, target -> permits.earliestAt(target.id(), target.incarnation(), now), now);
-  }
-
-  private Optional<Instant> firstOpening(
-      Collection<RelayTarget> targets, Function<RelayTarget, Instant> permittedAt, Instant now) {
-    return targets.stream()
-        .map(
-            target ->
-                availability
-                    .opensAt(target, now)
-                    .map(opensAt -> later(opensAt, permittedAt.apply(target))))
-        .flatMap(Optional::stream)
-        .min(Comparator.naturalOrder());
-  }
-
-  private static Instant later(Instant one, Instant other) {
-    return one.isAfter(other) ? one : other;
+  /** Returns the time at which the reports of the other instances are too old to be counted. */
+  synchronized Instant remoteLoadExpiresAt() {
+    return remoteLoadExpiresAt;
   }
 
   /** Records that a request waits for permits of those of some targets that are at their limits. */
@@ -251,7 +259,13 @@
   }
 
   private Entry entry(String target) {
-    return entries.computeIfAbsent(target, name -> new Entry());
+    Entry known = entries.get(target);
+    if (known != null) {
+      return known;
+    }
+    Entry created = new Entry();
+    entries.put(target, created);
+    return created;
   }
 
   /** A request in flight at a target. Guarded by the lock of its table. */
@@ -272,6 +286,7 @@
 
     private final TargetHealth health = new TargetHealth();
     private final CachedParts parts = new CachedParts();
+    private TargetWork remote = NO_LOAD;
     private int inFlight;
     private long footprint;
     private long backlogMillis;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -2,14 +2,13 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Stream;
 import org.geraniumwharf.internal.routing.RendezvousHash;
 import org.geraniumwharf.limit.TargetPermits;
-import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
  * Chooses the target of a request by the estimated time to its first token, which depends on the
@@ -24,55 +23,39 @@
  */
 public final class RelayPlacement {
 
-  /** Time to the first token besides the prefill of the prompt. */
-  private static final double FIRST_TOKEN_OVERHEAD_MILLIS = 10;
-
-  /** Delay that each running request adds to another one at an engine. */
-  private static final double MILLIS_PER_RUNNING_REQUEST = 2;
-
-  /** Delay that each request in flight adds to the next one at a plain target. */
-  private static final double MILLIS_PER_PLAIN_REQUEST = 20;
-
-  /**
-   * Share of a context that its preferred target is expected to have cached although this instance
-   * never sent it there.
-   */
-  private static final double PREFERRED_TARGET_CACHED_SHARE = 0.6;
-
-  /** Delay at an engine whose whole memory is occupied. */
-  private static final double FULL_MEMORY_MILLIS = 150;
-
   /** Fewest targets that a request compares, besides those that have its context cached. */
   private static final int MIN_COMPARED_TARGETS = 3;
 
   /** Number of targets compared, relative to the mean number of targets per instance. */
   private static final int COMPARED_TARGETS_FACTOR = 2;
 
-  private static final double OTHER_DATA_CENTRE_ROUND_TRIP_MILLIS = 2;
-
-  /** Plain targets whose estimates differ by less than this are ranked by a hash of the request. */
-  private static final double PLAIN_JITTER_MILLIS = 25;
+  private final PlacementRules rules;
+  private final TargetExclusion[] exclusions;
+  private final EstimateTerm[] terms;
 
-  private final String dataCentre;
-  private final BeginLimit limit;
+  private RelayPlacement(PlacementRules rules) {
+    this.rules = rules;
+    this.exclusions = rules.exclusions().toArray(TargetExclusion[]::new);
+    this.terms = rules.terms().toArray(EstimateTerm[]::new);
+  }
 
-  private RelayPlacement(String dataCentre, BeginLimit limit) {
-    this.dataCentre = dataCentre;
-    this.limit = limit;
+  /** Creates a policy of some rules. */
+  public static RelayPlacement of(PlacementRules rules) {
+    return new RelayPlacement(rules);
   }
 
   /**
-   * Creates the policy of an instance.
+   * Creates the policy of an instance with the standard rules.
    *
    * @param dataCentre data centre of the instance
    */
   public static RelayPlacement forDataCentre(String dataCentre) {
-    return new RelayPlacement(dataCentre, BeginLimit.none());
+    return of(PlacementRules.standard(dataCentre));
   }
 
   /** Returns the same policy with a limit to the time within which requests may begin. */
-  public RelayPlacement withLimit(BeginLimit newLimit) {
-    return new RelayPlacement(dataCentre, newLimit);
+  public RelayPlacement withLimit(BeginLimit limit) {
+    return of(rules.withLimit(limit));
   }
 
   /**
@@ -94,256 +77,259 @@
       RelayLoadTable.Load load) {}
 
   /**
-   * Returns the cheapest target that accepts requests, has free capacity, is not ejected and has no
-   * limit or a permit left. Records the demand for permits of cheaper targets. If all targets that
-   * accept requests are ejected, one that may be probed is returned, since nothing else would tell
-   * before the end of its ejection that it has recovered.
+   * What a decision depends on at one target.
    *
-   * @param storedTokens tokens at the start of the prompt that cache stores hold
-   * @param rates rates of the engines; unused for a request that is no generation
-   * @param excluded targets that this request was already sent to
-   * @param instances number of live entry instances, including this one
+   * @param exclusions what excludes the target; none if it is a candidate
+   * @param termMillis value of each term by its name, ms
    */
-  public Optional<Choice> choose(
-      ResolvedRequest resolved,
-      List<RelayTarget> targets,
-      RelayLoadTable table,
-      int storedTokens,
-      EngineRates rates,
-      Set<String> excluded,
-      int instances,
-      Instant now) {
-    String preferred = preferredTarget(resolved, targets);
-    List<Choice> open =
-        openChoices(
-                resolved, targets, preferred, table, storedTokens, rates, excluded, instances, now)
-            .toList();
-    List<Choice> healthy = open.stream().filter(choice -> !choice.load().isEjected()).toList();
-    boolean isProbe = healthy.isEmpty() && areAllEjected(resolved, targets, table, excluded, now);
-    List<Choice> usable =
-        isProbe ? open.stream().filter(choice -> choice.load().mayBeProbed()).toList() : healthy;
-    List<Choice> permitted = usable.stream().filter(choice -> choice.load().hasPermit()).toList();
-    Optional<Choice> chosen = cheapest(comparedChoices(resolved, permitted, preferred, instances));
-    if (permitted.size() < usable.size()) {
-      recordDemand(
-          resolved, comparedChoices(resolved, usable, preferred, instances), chosen, table, now);
-    }
-    return chosen;
-  }
+  public record Explanation(
+      RelayTarget target, List<Exclusion> exclusions, Map<String, Double> termMillis) {}
 
-  private static Optional<Choice> cheapest(Stream<Choice> choices) {
-    return choices.min(Comparator.comparingDouble(Choice::costMillis));
-  }
+  /** A target that is excluded at most by its ejection and for want of a permit. */
+  private record Candidate(
+      RelayTarget target, RelayLoadTable.Load load, boolean isEjected, boolean hasPermit) {}
 
-  /** Records that a request would have gone to the targets without a permit that are cheaper. */
-  private static void recordDemand(
-      ResolvedRequest resolved,
-      Stream<Choice> choices,
-      Optional<Choice> chosen,
-      RelayLoadTable table,
-      Instant now) {
-    double bound = chosen.map(Choice::costMillis).orElse(Double.POSITIVE_INFINITY);
-    TargetPermits permits = table.permits();
-    choices
-        .filter(choice -> !choice.load().hasPermit() && choice.costMillis() < bound)
-        .map(Choice::target)
-        .forEach(
-            target -> {
-              if (chosen.isPresent()) {
-                permits.recordSteered(target.id(), target.incarnation(), now);
-              } else {
-                permits.addWaiting(target.id(), target.incarnation(), resolved.request().id(), now);
-              }
-            });
-  }
+  /**
+   * Candidates for a request.
+   *
+   * @param isAlternativeBusy whether a target that is available and not ejected is no candidate
+   */
+  private record Candidates(
+      List<Candidate> open,
+      boolean isAnyEjected,
+      boolean isAnyAtLimit,
+      boolean isAlternativeBusy) {}
 
-  private static boolean areAllEjected(
-      ResolvedRequest resolved,
-      List<RelayTarget> targets,
-      RelayLoadTable table,
-      Set<String> excluded,
-      Instant now) {
-    return targets.stream()
-        .filter(target -> !excluded.contains(target.id()))
-        .map(target -> table.load(target, resolved, now))
-        .filter(RelayLoadTable.Load::isAccepting)
-        .allMatch(RelayLoadTable.Load::isEjected);
+  /**
+   * Returns the cheapest target that no rule excludes. Records the demand for permits of cheaper
+   * targets. If all targets that are available are ejected, one that may be probed is returned,
+   * since nothing else would tell before the end of its ejection that it has recovered.
+   */
+  public Optional<Choice> choose(PlacementQuery query, RelayLoadTable table) {
+    Candidates candidates = candidates(query, table);
+    List<Candidate> usable = usable(candidates, query.now());
+    List<Candidate> permitted = candidates.isAnyAtLimit() ? permitted(usable) : usable;
+    Optional<Choice> chosen = cheapest(query, compared(query, permitted));
+    if (permitted.size() < usable.size()) {
+      recordDemand(query, compared(query, usable), chosen, table.permits());
+    }
+    return chosen;
   }
 
   /**
-   * Returns the cheapest target that accepts requests, has free capacity and has no limit or a
-   * permit left, including ejected ones. Records the demand for permits of cheaper targets. Meant
-   * for a request whose response has started: it can neither be queued nor rejected and would
-   * otherwise be lost.
-   *
-   * @param rates rates of the engines; unused for a request that is no generation
+   * Returns the cheapest target that no rule excludes, including ejected ones. Records the demand
+   * for permits of cheaper targets. Meant for a request whose response has started: it can neither
+   * be queued nor rejected and would otherwise be lost.
    */
-  public Optional<Choice> chooseIncludingEjected(
-      ResolvedRequest resolved,
-      List<RelayTarget> targets,
-      RelayLoadTable table,
-      EngineRates rates,
-      Set<String> excluded,
-      int instances,
-      Instant now) {
-    String preferred = preferredTarget(resolved, targets);
-    List<Choice> open =
-        openChoices(resolved, targets, preferred, table, 0, rates, excluded, instances, now)
-            .toList();
-    Optional<Choice> chosen = cheapest(open.stream().filter(choice -> choice.load().hasPermit()));
-    recordDemand(resolved, open.stream(), chosen, table, now);
+  public Optional<Choice> chooseIncludingEjected(PlacementQuery query, RelayLoadTable table) {
+    List<Candidate> open = candidates(query, table).open();
+    Optional<Choice> chosen = cheapest(query, permitted(open));
+    recordDemand(query, open, chosen, table.permits());
     return chosen;
   }
 
-  /** Returns a choice for each target that accepts requests and has free capacity. */
-  private Stream<Choice> openChoices(
-      ResolvedRequest resolved,
-      List<RelayTarget> targets,
-      String preferred,
-      RelayLoadTable table,
-      int storedTokens,
-      EngineRates rates,
-      Set<String> excluded,
-      int instances,
-      Instant now) {
-    List<Choice> open = new ArrayList<>();
-    for (RelayTarget target : targets) {
-      RelayLoadTable.Load load = table.load(target, resolved, now);
-      if (!excluded.contains(target.id()) && load.isAccepting()) {
-        evaluate(resolved, target, preferred, load, storedTokens, rates, instances)
-            .filter(choice -> beginsInTime(choice, now))
-            .ifPresent(open::add);
+  // --------------------------------------------------------------- candidates
+
+  private Candidates candidates(PlacementQuery query, RelayLoadTable table) {
+    List<RelayTarget> targets = query.targets();
+    RelayLoadTable.Load[] loads = table.loads(query);
+    List<Candidate> open = new ArrayList<>(loads.length);
+    boolean isAnyEjected = false;
+    boolean isAnyAtLimit = false;
+    boolean isAlternativeBusy = false;
+    for (int i = 0; i < loads.length; i++) {
+      RelayTarget target = targets.get(i);
+      boolean isEjected = false;
+      boolean hasPermit = true;
+      boolean isBusy = false;
+      boolean isAvailable = true;
+      for (TargetExclusion rule : exclusions) {
+        Optional<Exclusion> found = rule.find(query, target, loads[i]);
+        if (found.isPresent()) {
+          Exclusion.Reason reason = found.get().reason();
+          isEjected |= reason == Exclusion.Reason.EJECTED;
+          hasPermit &= reason != Exclusion.Reason.NO_PERMIT;
+          isBusy |= reason != Exclusion.Reason.EJECTED && reason != Exclusion.Reason.NO_PERMIT;
+          isAvailable = reason.isAvailable();
+          if (!isAvailable) {
+            break;
+          }
+        }
+      }
+      if (isBusy) {
+        isAlternativeBusy |= isAvailable && !isEjected;
+      } else {
+        open.add(new Candidate(target, loads[i], isEjected, hasPermit));
+        isAnyEjected |= isEjected;
+        isAnyAtLimit |= !hasPermit;
       }
     }
-    return open.stream();
+    return new Candidates(open, isAnyEjected, isAnyAtLimit, isAlternativeBusy);
   }
 
-  /** Returns whether a request is expected to begin at a target within its limit. */
-  private boolean beginsInTime(Choice choice, Instant now) {
-    return limit
-        .timeLeft(choice.target(), now)
-        .filter(left -> choice.costMillis() >= left.toMillis())
-        .isEmpty();
+  /** Returns the candidates that are not ejected or, if there is no such target, may be probed. */
+  private static List<Candidate> usable(Candidates candidates, Instant now) {
+    if (!candidates.isAnyEjected()) {
+      return candidates.open();
+    }
+    List<Candidate> healthy = new ArrayList<>();
+    List<Candidate> probed = new ArrayList<>();
+    for (Candidate candidate : candidates.open()) {
+      if (!candidate.isEjected()) {
+        healthy.add(candidate);
+      } else if (candidate.load().mayBeProbed(now)) {
+        probed.add(candidate);
+      }
+    }
+    return healthy.isEmpty() && !candidates.isAlternativeBusy() ? probed : healthy;
   }
 
-  /** A choice with the rank, from 0 to 1, that a hash of the request gives its target. */
-  private record RankedChoice(Choice choice, double rank) {}
+  private static List<Candidate> permitted(List<Candidate> candidates) {
+    List<Candidate> permitted = new ArrayList<>();
+    for (Candidate candidate : candidates) {
+      if (candidate.hasPermit()) {
+        permitted.add(candidate);
+      }
+    }
+    return permitted;
+  }
 
   /**
-   * Returns the choices to compare. With fewer instances more targets are compared, since less of
-   * the load is unknown to this instance.
+   * Returns the candidates to compare. With fewer instances more of them are compared, since less
+   * of the load is unknown to this instance.
    */
-  private static Stream<Choice> comparedChoices(
-      ResolvedRequest resolved, List<Choice> open, String preferred, int instances) {
-    int share = COMPARED_TARGETS_FACTOR * open.size() / Math.max(1, instances);
+  private static List<Candidate> compared(PlacementQuery query, List<Candidate> candidates) {
+    int share = COMPARED_TARGETS_FACTOR * candidates.size() / Math.max(1, query.instances());
     int most = Math.max(MIN_COMPARED_TARGETS, 1 + share);
-    if (!resolved.isGeneration() || open.size() <= most) {
-      return open.stream();
+    if (!query.isGeneration() || candidates.size() <= most) {
+      return candidates;
     }
-    long key = RendezvousHash.keyOf(resolved.request().id());
-    Stream<Choice> ranked =
-        open.stream()
-            .map(choice -> new RankedChoice(choice, hashFraction(choice.target(), key)))
-            .sorted(Comparator.comparingDouble(RankedChoice::rank))
-            .limit(most)
-            .map(RankedChoice::choice);
-    Stream<Choice> cached =
-        open.stream()
-            .filter(
-                choice ->
-                    choice.target().id().equals(preferred)
-                        || choice.cachedTokens() > choice.storedTokens());
-    return Stream.concat(ranked, cached);
+    List<Candidate> compared = firstByHash(query.requestKey(), candidates, most);
+    for (Candidate candidate : candidates) {
+      if (candidate.load().cachedTokens() > query.storedTokens()
+          || query.isPreferred(candidate.target())) {
+        compared.add(candidate);
+      }
+    }
+    return compared;
   }
 
-  private Optional<Choice> evaluate(
-      ResolvedRequest resolved,
-      RelayTarget target,
-      String preferred,
-      RelayLoadTable.Load load,
-      int storedTokens,
-      EngineRates rates,
-      int instances) {
-    if (!TargetCapacity.hasFreeCapacity(resolved, target, load, instances)) {
-      return Optional.empty();
+  /** Returns the candidates with the smallest hashes of target and request. */
+  private static List<Candidate> firstByHash(long key, List<Candidate> candidates, int count) {
+    long[] hashes = new long[count];
+    Candidate[] first = new Candidate[count];
+    int size = 0;
+    for (Candidate candidate : candidates) {
+      long hash = RendezvousHash.weight(candidate.target().hash(), key) >>> 1;
+      if (size == count && hash >= hashes[count - 1]) {
+        continue;
+      }
+      int position = size < count ? size++ : count - 1;
+      for (; position > 0 && hashes[position - 1] > hash; position--) {
+        hashes[position] = hashes[position - 1];
+        first[position] = first[position - 1];
+      }
+      hashes[position] = hash;
+      first[position] = candidate;
     }
-    double distance =
-        target.dataCentre().equals(dataCentre) ? 0 : OTHER_DATA_CENTRE_ROUND_TRIP_MILLIS;
-    double firstTokenMillis =
-        resolved.isGeneration()
-            ? firstTokenMillis(resolved, target, preferred, load, storedTokens, rates)
-            : 0;
-    double loadMillis =
-        resolved.isGeneration()
-            ? engineLoadMillis(resolved, load)
-            : plainLoadMillis(resolved, target, load);
-    return Optional.of(
-        new Choice(
-            target,
-            distance + firstTokenMillis + loadMillis,
-            load.cachedTokens(),
-            storedTokens,
-            Math.round(firstTokenMillis),
-            load));
+    return new ArrayList<>(Arrays.asList(first));
   }
 
-  private static double plainLoadMillis(
-      ResolvedRequest resolved, RelayTarget target, RelayLoadTable.Load load) {
-    long key = RendezvousHash.keyOf(resolved.request().id());
-    return load.inFlight() * MILLIS_PER_PLAIN_REQUEST
-        + PLAIN_JITTER_MILLIS * hashFraction(target, key);
-  }
+  // ---------------------------------------------------------------- estimates
 
-  /** Returns a pseudo-random number from 0 to 1 for a target and a request. */
-  private static double hashFraction(RelayTarget target, long requestKey) {
-    return RendezvousHash.fraction(hashWeight(target, requestKey));
+  private Optional<Choice> cheapest(PlacementQuery query, List<Candidate> candidates) {
+    Candidate best = null;
+    double leastMillis = Double.POSITIVE_INFINITY;
+    for (Candidate candidate : candidates) {
+      double millis = totalMillis(terms, query, candidate.target(), candidate.load());
+      if (best == null || millis < leastMillis) {
+        best = candidate;
+        leastMillis = millis;
+      }
+    }
+    return best == null ? Optional.empty() : Optional.of(choice(query, best, leastMillis));
   }
 
-  /** Estimates the time to the first token of a request at an idle target, ms. */
-  private static double firstTokenMillis(
-      ResolvedRequest resolved,
-      RelayTarget target,
-      String preferred,
-      RelayLoadTable.Load load,
-      int storedTokens,
-      EngineRates rates) {
-    double fetched = Math.max(0, storedTokens - load.cachedTokens());
-    double missing = resolved.request().promptTokens() - load.cachedTokens() - fetched;
-    if (target.id().equals(preferred)) {
-      int shared = resolved.sharedParts().stream().mapToInt(PromptPart::tokens).sum();
-      int available = Math.max(storedTokens, load.cachedTokens());
-      missing -= PREFERRED_TARGET_CACHED_SHARE * Math.max(0, shared - available);
+  private Choice choice(PlacementQuery query, Candidate candidate, double costMillis) {
+    RelayLoadTable.Load load = candidate.load();
+    double ownMillis = 0;
+    for (EstimateTerm term : terms) {
+      if (term.isOwnWork()) {
+        ownMillis += term.millis(query, candidate.target(), load);
+      }
     }
-    return FIRST_TOKEN_OVERHEAD_MILLIS + rates.computeMillis(missing) + rates.fetchMillis(fetched);
+    return new Choice(
+        candidate.target(),
+        costMillis,
+        load.cachedTokens(),
+        query.storedTokens(),
+        Math.round(ownMillis),
+        load);
   }
 
-  /** Estimates the delay by the other requests at an engine, ms. */
-  private static double engineLoadMillis(ResolvedRequest resolved, RelayLoadTable.Load load) {
-    EngineCapacity engine = resolved.service().engine().orElseThrow();
-    return load.backlogMillis()
-        + load.inFlight() * MILLIS_PER_RUNNING_REQUEST
-        + FULL_MEMORY_MILLIS * load.footprint() / engine.cacheTokens();
+  static double totalMillis(
+      EstimateTerm[] terms, PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
+    double millis = 0;
+    for (EstimateTerm term : terms) {
+      millis += term.millis(query, target, load);
+    }
+    return millis;
   }
 
-  private static String preferredTarget(ResolvedRequest resolved, List<RelayTarget> targets) {
-    if (!resolved.isGeneration()) {
-      return "";
+  /** Records that a request would have gone to the targets without a permit that are cheaper. */
+  private void recordDemand(
+      PlacementQuery query,
+      List<Candidate> candidates,
+      Optional<Choice> chosen,
+      TargetPermits permits) {
+    double bound = chosen.map(Choice::costMillis).orElse(Double.POSITIVE_INFINITY);
+    for (Candidate candidate : candidates) {
+      RelayTarget target = candidate.target();
+      if (candidate.hasPermit() || totalMillis(terms, query, target, candidate.load()) >= bound) {
+        continue;
+      }
+      if (chosen.isPresent()) {
+        permits.recordSteered(target.id(), target.incarnation(), query.now());
+      } else {
+        permits.addWaiting(
+            target.id(), target.incarnation(), query.request().request().id(), query.now());
+      }
     }
-    List<PromptPart> shared = resolved.sharedParts();
-    long key = RendezvousHash.keyOf(shared.get(shared.size() - 1).id());
-    String preferred = "";
-    long greatest = Long.MIN_VALUE;
-    for (RelayTarget target : targets) {
-      long weight = hashWeight(target, key);
-      if (preferred.isEmpty() || weight > greatest) {
-        preferred = target.id();
-        greatest = weight;
+  }
+
+  // -------------------------------------------------------------- explanations
+
+  /** Returns, for each target of a request, what excludes it and the terms of its estimate. */
+  public List<Explanation> explain(PlacementQuery query, RelayLoadTable table) {
+    RelayLoadTable.Load[] loads = table.loads(query);
+    List<Explanation> explanations = new ArrayList<>(loads.length);
+    for (int i = 0; i < loads.length; i++) {
+      RelayTarget target = query.targets().get(i);
+      List<Exclusion> found = new ArrayList<>();
+      for (TargetExclusion rule : exclusions) {
+        rule.find(query, target, loads[i]).ifPresent(found::add);
       }
+      Map<String, Double> millis = new LinkedHashMap<>();
+      for (EstimateTerm term : terms) {
+        millis.put(term.name(), term.millis(query, target, loads[i]));
+      }
+      explanations.add(new Explanation(target, found, millis));
     }
-    return preferred;
+    return explanations;
   }
 
-  private static long hashWeight(RelayTarget target, long key) {
-    return RendezvousHash.weight(RendezvousHash.keyOf(target.id()), key);
+  /** Returns when the targets of a request that found none are expected to accept it. */
+  public Openings openings(PlacementQuery query, RelayLoadTable table) {
+    RelayLoadTable.Load[] loads = table.loads(query);
+    Openings.Builder openings = new Openings.Builder(query, table);
+    for (int i = 0; i < loads.length; i++) {
+      RelayTarget target = query.targets().get(i);
+      openings.startTarget(target, loads[i]);
+      for (TargetExclusion rule : exclusions) {
+        rule.find(query, target, loads[i]).ifPresent(openings::add);
+      }
+      openings.endTarget();
+    }
+    return openings.build();
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -6,11 +6,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.TreeSet;
 
 /**
- * Queue of requests of one service that wait for free capacity, ordered by priority and arrival.
- * Safe for use by several threads; no other lock is taken while its lock is held.
+ * Queue of requests of one service that wait for free capacity, in a {@link QueueOrder}. Safe for
+ * use by several threads; no other lock is taken while its lock is held.
  *
  * <p>Handles load peaks of at most about a second: a request waits only while its response can
  * still be on time or slightly late. During a longer peak, requests are rejected at once, with the
@@ -32,13 +31,29 @@
   private static final double SMOOTHING_FACTOR = 0.1;
   private static final double MILLIS_PER_SECOND = 1000;
 
-  private final TreeSet<Entry<T>> entries =
-      new TreeSet<>(
-          Comparator.<Entry<T>>comparingInt(Entry::priority).thenComparingLong(Entry::sequence));
+  private final QueueOrder order;
+
+  /** Kept in the order of the last use. */
+  private final List<Entry<T>> entries = new ArrayList<>();
+
   private long nextSequence;
   private double meanGapMillis = MILLIS_PER_SECOND / INITIAL_REQUESTS_PER_SECOND;
   private Instant lastEndedAt = Instant.MIN;
 
+  private RelayQueue(QueueOrder order) {
+    this.order = order;
+  }
+
+  /** Creates a queue that is ordered by priority and arrival. */
+  public static <T> RelayQueue<T> create() {
+    return inOrder(QueueOrder.byPriority());
+  }
+
+  /** Creates a queue with an order. */
+  public static <T> RelayQueue<T> inOrder(QueueOrder order) {
+    return new RelayQueue<>(order);
+  }
+
   /**
    * A queued request.
    *
@@ -48,7 +63,8 @@
    * @param sequence position in the order of arrival
    * @param expiresAt time at which the request is to leave the queue unserved
    */
-  public record Entry<T>(T item, int priority, long size, long sequence, Instant expiresAt) {}
+  public record Entry<T>(T item, int priority, long size, long sequence, Instant expiresAt)
+      implements QueuedRequest {}
 
   /**
    * Result of an offer to the queue.
@@ -67,7 +83,7 @@
       T item, int priority, long size, Instant deadline, Instant now) {
     Duration maxWait = maxWait(deadline, now);
     Entry<T> entry = new Entry<>(item, priority, size, nextSequence, now.plus(maxWait));
-    int ahead = entries.headSet(entry).size();
+    int ahead = countAhead(entry, now);
     Duration expected = Duration.ofMillis((long) ((ahead + 1) * meanGapMillis));
     if (expected.compareTo(maxWait) > 0) {
       return new Admission<>(Optional.empty(), expected);
@@ -77,6 +93,17 @@
     return new Admission<>(Optional.of(entry), expected);
   }
 
+  private int countAhead(Entry<T> entry, Instant now) {
+    Comparator<QueuedRequest> current = order.at(now);
+    int ahead = 0;
+    for (Entry<T> other : entries) {
+      if (current.compare(other, entry) < 0) {
+        ahead++;
+      }
+    }
+    return ahead;
+  }
+
   /** Returns the longest time for which a request with this deadline is queued. */
   public static Duration maxWait(Instant deadline, Instant now) {
     Duration callerLimit = Duration.between(now, deadline).dividedBy(CALLER_TIME_DIVISOR);
@@ -91,12 +118,22 @@
    * @param size tokens that the request occupies at a target
    */
   public synchronized boolean mustQueue(int priority, long size) {
-    return entries.stream().anyMatch(other -> other.priority() <= priority && other.size() <= size);
+    for (Entry<T> other : entries) {
+      if (other.priority() <= priority && other.size() <= size) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  /** Returns the entries, the most urgent first. */
-  public synchronized List<Entry<T>> entriesInOrder() {
-    return new ArrayList<>(entries);
+  /**
+   * Returns the entries that are to be dispatched first.
+   *
+   * @param most largest number of entries to return
+   */
+  public synchronized List<Entry<T>> first(int most, Instant now) {
+    entries.sort(order.at(now));
+    return List.copyOf(entries.subList(0, Math.min(most, entries.size())));
   }
 
   /** Removes an entry; returns false when it is no longer queued. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
@@ -113,33 +113,32 @@
   }
 
   /**
-   * Returns whether another request may be placed at a target.
+   * Returns why no further request may be placed at a target.
    *
    * @param inFlight requests that this instance has at the target
    */
-  boolean isAccepting(RelayTarget target, int inFlight, Instant now) {
-    Optional<Status> status = status(target);
-    if (status.isEmpty()) {
-      return true;
+  Optional<Exclusion> exclusion(RelayTarget target, int inFlight, Instant now) {
+    Status status = statuses.get(target.id());
+    if (status == null || status.incarnation() < target.incarnation()) {
+      return Optional.empty();
+    }
+    if (status.isLeaving()) {
+      return Exclusion.lasting(Exclusion.Reason.LEAVING);
     }
-    boolean isReturning = now.isBefore(plus(status.get().pausedUntil(), SINGLE_REQUEST_TIME));
-    return !status.get().isClosed(now) && (inFlight == 0 || !isReturning);
+    Instant end = status.pausedUntil();
+    if (now.isBefore(end)) {
+      return Exclusion.until(Exclusion.Reason.PAUSED, end);
+    }
+    Instant returned = plus(end, SINGLE_REQUEST_TIME);
+    return inFlight > 0 && now.isBefore(returned)
+        ? Exclusion.until(Exclusion.Reason.RETURNING, returned)
+        : Optional.empty();
   }
 
   private static Instant plus(Instant time, Duration duration) {
     return time.equals(Instant.MIN) ? time : time.plus(duration);
   }
 
-  /** Returns when a target accepts requests again; empty if it is leaving. */
-  Optional<Instant> opensAt(RelayTarget target, Instant now) {
-    Optional<Status> status = status(target);
-    if (status.filter(Status::isLeaving).isPresent()) {
-      return Optional.empty();
-    }
-    Instant end = status.map(Status::pausedUntil).orElse(Instant.MIN);
-    return Optional.of(end.isAfter(now) ? end : now);
-  }
-
   /** Forgets targets that have not been announced for a long time. */
   void retainTargets(Set<String> announced, Instant now) {
     statuses.replaceAll(
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetCapacity.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetCapacity.java
@@ -1,14 +1,15 @@
 package org.geraniumwharf.relay;
 
+import java.util.Optional;
 import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
- * Decides whether a target has free capacity for a request, so that load peaks wait in queues that
- * respect priorities and deadlines instead of at the targets. An engine that runs out of memory
- * preempts running requests and recomputes them; large requests therefore leave a part of its
- * memory to small ones, which arrive in short bursts.
+ * Excludes targets without free capacity, so that load peaks wait in queues that respect priorities
+ * and deadlines instead of at the targets. An engine that runs out of memory preempts running
+ * requests and recomputes them; large requests therefore leave a part of its memory to small ones,
+ * which arrive in short bursts.
  */
-final class TargetCapacity {
+final class TargetCapacity implements TargetExclusion {
 
   /**
    * Requests per slot that a target may have; those beyond its slots wait in the queue of the
@@ -31,30 +32,43 @@
   /** Fraction of the memory of an engine below which a request counts as small. */
   private static final double SMALL_REQUEST_MEMORY_SHARE = 0.04;
 
-  private TargetCapacity() {}
+  private static final Optional<Exclusion> SLOTS_OCCUPIED =
+      Optional.of(new Exclusion(Exclusion.Reason.SLOTS_OCCUPIED, Optional.empty()));
 
-  static boolean hasFreeCapacity(
-      ResolvedRequest resolved, RelayTarget target, RelayLoadTable.Load load, int instances) {
-    int max = SLOT_OVERCOMMIT * slots(resolved, target);
+  private static final Optional<Exclusion> MEMORY_OCCUPIED =
+      Optional.of(new Exclusion(Exclusion.Reason.MEMORY_OCCUPIED, Optional.empty()));
+
+  @Override
+  public Optional<Exclusion> find(
+      PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
+    int inFlight = load.inFlight();
+    boolean hasRemoteReport = load.hasRemoteReport();
+    int max = SLOT_OVERCOMMIT * slots(query, target);
     int maxHere =
-        load.hasRemoteReport() ? max : Math.max(MIN_INSTANCE_SHARE, max / Math.max(1, instances));
-    return load.inFlight() < maxHere && hasFreeMemory(resolved, load, instances);
+        hasRemoteReport ? max : Math.max(MIN_INSTANCE_SHARE, max / Math.max(1, query.instances()));
+    if (inFlight >= maxHere) {
+      return SLOTS_OCCUPIED;
+    }
+    return hasFreeMemory(query, load, hasRemoteReport) ? Optional.empty() : MEMORY_OCCUPIED;
   }
 
-  private static int slots(ResolvedRequest resolved, RelayTarget target) {
-    int announced = target.slots() > 0 ? target.slots() : DEFAULT_SLOTS;
-    return resolved.service().engine().map(EngineCapacity::slots).orElse(announced);
+  private static int slots(PlacementQuery query, RelayTarget target) {
+    if (query.engine().isPresent()) {
+      return query.engine().get().slots();
+    }
+    return target.slots() > 0 ? target.slots() : DEFAULT_SLOTS;
   }
 
   private static boolean hasFreeMemory(
-      ResolvedRequest resolved, RelayLoadTable.Load load, int instances) {
-    if (!resolved.isGeneration() || load.inFlight() == 0) {
+      PlacementQuery query, RelayLoadTable.Load load, boolean hasRemoteReport) {
+    if (!query.isGeneration() || load.inFlight() == 0) {
       return true;
     }
-    long tokens = resolved.service().engine().orElseThrow().cacheTokens();
-    double occupied = load.footprint() * (load.hasRemoteReport() ? 1.0 : instances / 2.0);
-    boolean isSmall = resolved.footprint() < SMALL_REQUEST_MEMORY_SHARE * tokens;
-    return occupied + resolved.footprint()
+    EngineCapacity engine = query.engine().orElseThrow();
+    long tokens = engine.cacheTokens();
+    double occupied = load.footprint() * (hasRemoteReport ? 1.0 : query.instances() / 2.0);
+    boolean isSmall = query.footprint() < SMALL_REQUEST_MEMORY_SHARE * tokens;
+    return occupied + query.footprint()
         <= (isSmall ? MAX_FILL_SMALL_REQUESTS : MAX_FILL_LARGE_REQUESTS) * tokens;
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 
 /**
  * Counts the consecutive failures and rejections of one target and ejects it for a time that
@@ -63,8 +64,16 @@
     probeFrom = now.plus(BASE_EJECTION_TIME);
   }
 
-  boolean isEjected(Instant now) {
-    return now.isBefore(ejectedUntil);
+  /** Returns until when the target gets no requests; empty if it is not ejected. */
+  Optional<Exclusion> exclusion(Instant now) {
+    return now.isBefore(ejectedUntil)
+        ? Exclusion.until(Exclusion.Reason.EJECTED, ejectedUntil)
+        : Optional.empty();
+  }
+
+  /** Returns the time from which the target may be probed although it is ejected. */
+  Instant probeFrom() {
+    return probeFrom;
   }
 
   /** Returns whether the target may be probed although it is ejected. */
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/EjectedTargetProbeTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/EjectedTargetProbeTest.java
@@ -88,7 +88,9 @@
 
   private Optional<RelayPlacement.Choice> choose(Instant now, RelayTarget... targets) {
     return RelayPlacement.forDataCentre("dc-1")
-        .choose(REQUEST, List.of(targets), load, 0, TestRequests.RATES, Set.of(), 1, now);
+        .choose(
+            new PlacementQuery(REQUEST, List.of(targets), Set.of(), 1, 0, TestRequests.RATES, now),
+            load);
   }
 
   private static Duration max(Duration one, Duration other) {
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayPlacementTest.java
@@ -39,15 +39,7 @@
 
     Optional<RelayPlacement.Choice> other =
         RelayPlacement.forDataCentre("dc-1")
-            .choose(
-                DRAFT,
-                TARGETS,
-                RelayLoadTable.forInstance("entry-1"),
-                0,
-                TestRequests.RATES,
-                Set.of(),
-                INSTANCES,
-                TestRequests.NOW);
+            .choose(query(DRAFT), RelayLoadTable.forInstance("entry-1"));
 
     assertEquals(preferred, other.orElseThrow().target().id());
   }
@@ -157,14 +149,7 @@
 
     Optional<RelayPlacement.Choice> ejected =
         RelayPlacement.forDataCentre("dc-1")
-            .chooseIncludingEjected(
-                DRAFT,
-                TARGETS,
-                load,
-                TestRequests.RATES,
-                Set.of(TARGETS.get(0).id()),
-                INSTANCES,
-                TestRequests.NOW);
+            .chooseIncludingEjected(query(DRAFT, TARGETS, Set.of(TARGETS.get(0).id())), load);
 
     assertTrue(choose(DRAFT).isEmpty());
     assertNotEquals(TARGETS.get(0), ejected.orElseThrow().target());
@@ -187,8 +172,7 @@
     Optional<RelayPlacement.Choice> choice =
         RelayPlacement.forDataCentre("dc-1")
             .withLimit(none)
-            .chooseIncludingEjected(
-                DRAFT, TARGETS, load, TestRequests.RATES, Set.of(), INSTANCES, TestRequests.NOW);
+            .chooseIncludingEjected(query(DRAFT), load);
 
     assertTrue(choice.isEmpty());
   }
@@ -268,10 +252,14 @@
             TestRequests.NOW,
             TestRequests.NOW);
 
-    Instant opensAt = load.opensAt(List.of(limited), "r1", TestRequests.NOW).orElseThrow();
+    Instant opensAt = openings(List.of(limited)).opensAt().orElseThrow();
 
     assertTrue(opensAt.isAfter(TestRequests.NOW.plusSeconds(4)));
-    assertEquals(Optional.of(TestRequests.NOW), load.opensAt(TARGETS, "r1", TestRequests.NOW));
+    assertEquals(Optional.of(TestRequests.NOW), openings(TARGETS).opensAt());
+  }
+
+  private Openings openings(List<RelayTarget> targets) {
+    return RelayPlacement.forDataCentre("dc-1").openings(query(DRAFT, targets, Set.of()), load);
   }
 
   private void limit(RelayTarget target) {
@@ -293,10 +281,17 @@
   }
 
   private Optional<RelayPlacement.Choice> choose(ResolvedRequest resolved, BeginLimit limit) {
-    return RelayPlacement.forDataCentre("dc-1")
-        .withLimit(limit)
-        .choose(
-            resolved, TARGETS, load, 0, TestRequests.RATES, Set.of(), INSTANCES, TestRequests.NOW);
+    return RelayPlacement.forDataCentre("dc-1").withLimit(limit).choose(query(resolved), load);
+  }
+
+  private static PlacementQuery query(ResolvedRequest resolved) {
+    return query(resolved, TARGETS, Set.of());
+  }
+
+  private static PlacementQuery query(
+      ResolvedRequest resolved, List<RelayTarget> targets, Set<String> tried) {
+    return new PlacementQuery(
+        resolved, targets, tried, INSTANCES, 0, TestRequests.RATES, TestRequests.NOW);
   }
 
   private static BeginLimit limitAt(RelayTarget limited, Duration timeLeft) {
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayQueueTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayQueueTest.java
@@ -13,7 +13,7 @@
   private static final Instant NOW = Instant.ofEpochSecond(1000);
   private static final Instant DEADLINE = NOW.plusSeconds(10);
 
-  private final RelayQueue<String> queue = new RelayQueue<>();
+  private final RelayQueue<String> queue = RelayQueue.create();
 
   @Test
   void should_order_requests_by_priority_and_then_by_arrival() {
@@ -23,7 +23,7 @@
 
     assertEquals(
         "[first, second, long]",
-        queue.entriesInOrder().stream().map(RelayQueue.Entry::item).toList().toString());
+        queue.first(3, NOW).stream().map(RelayQueue.Entry::item).toList().toString());
   }
 
   @Test
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/SimulatedFleet.java
@@ -164,14 +164,9 @@
       Kind kind, ResolvedRequest resolved, int stored, RelayLoadTable table, double arrivedMillis) {
     Optional<RelayPlacement.Choice> choice =
         placement.choose(
-            resolved,
-            engines,
-            table,
-            stored,
-            TestRequests.RATES,
-            Set.of(),
-            tables.size(),
-            instant());
+            new PlacementQuery(
+                resolved, engines, Set.of(), tables.size(), stored, TestRequests.RATES, instant()),
+            table);
     if (choice.isEmpty()) {
       schedule(RETRY_MILLIS, () -> place(kind, resolved, stored, table, arrivedMillis));
       return;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetAvailabilityTest.java
@@ -30,10 +30,10 @@
     assertTrue(isNews);
     assertFalse(isNewsAgain);
     assertTrue(availability.isClosed(TARGET, NOW.plusSeconds(3600)));
-    assertFalse(availability.isAccepting(TARGET, 0, NOW.plusSeconds(3600)));
-    assertEquals(Optional.empty(), availability.opensAt(TARGET, NOW));
+    assertFalse(isAccepting(availability, TARGET, 0, NOW.plusSeconds(3600)));
+    assertEquals(Optional.empty(), opensAt(availability, TARGET, NOW));
     assertFalse(availability.isClosed(laterProcess(), NOW));
-    assertTrue(availability.isAccepting(laterProcess(), 5, NOW));
+    assertTrue(isAccepting(availability, laterProcess(), 5, NOW));
   }
 
   @Test
@@ -81,10 +81,10 @@
     Instant at = NOW.plusMillis(atMillis);
     if (at.isBefore(NOW.plus(observed))) {
       assertTrue(table.isClosed(TARGET, at));
-      assertFalse(table.isAccepting(TARGET, 0, at));
-      assertTrue(table.opensAt(TARGET, at).orElseThrow().isAfter(at));
+      assertFalse(isAccepting(table, TARGET, 0, at));
+      assertTrue(opensAt(table, TARGET, at).orElseThrow().isAfter(at));
     } else if (!at.isBefore(NOW.plus(observed).plusMillis(400))) {
-      assertTrue(table.isAccepting(TARGET, 0, at));
+      assertTrue(isAccepting(table, TARGET, 0, at));
     }
   }
 
@@ -99,11 +99,11 @@
   @Test
   void should_send_one_request_at_a_time_right_after_a_pause() {
     availability.recordNotice(TARGET, TargetNotice.of(false, seconds(2)), NOW);
-    Instant opened = availability.opensAt(TARGET, NOW).orElseThrow();
+    Instant opened = opensAt(availability, TARGET, NOW).orElseThrow();
 
-    assertTrue(availability.isAccepting(TARGET, 0, opened));
-    assertFalse(availability.isAccepting(TARGET, 1, opened));
-    assertTrue(availability.isAccepting(TARGET, 1, opened.plusSeconds(1)));
+    assertTrue(isAccepting(availability, TARGET, 0, opened));
+    assertFalse(isAccepting(availability, TARGET, 1, opened));
+    assertTrue(isAccepting(availability, TARGET, 1, opened.plusSeconds(1)));
   }
 
   @Test
@@ -114,7 +114,7 @@
     availability.recordNotice(TARGET, pause, NOW);
     other.recordNotice(TARGET, pause, NOW);
 
-    assertNotEquals(availability.opensAt(TARGET, NOW), other.opensAt(TARGET, NOW));
+    assertNotEquals(opensAt(availability, TARGET, NOW), opensAt(other, TARGET, NOW));
   }
 
   @Test
@@ -134,6 +134,17 @@
         1);
   }
 
+  private static boolean isAccepting(
+      TargetAvailability table, RelayTarget target, int inFlight, Instant at) {
+    return table.exclusion(target, inFlight, at).isEmpty();
+  }
+
+  /** Returns when a target accepts a request; empty if it never does. */
+  private static Optional<Instant> opensAt(
+      TargetAvailability table, RelayTarget target, Instant at) {
+    return table.exclusion(target, 0, at).map(Exclusion::until).orElse(Optional.of(at));
+  }
+
   private static Optional<Duration> seconds(int seconds) {
     return Optional.of(Duration.ofSeconds(seconds));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -9,7 +9,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +19,7 @@
 import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -183,26 +183,25 @@
 
   /** Rejects a queued request that no target will take before it has to leave the queue. */
   private void rejectIfTooLate(RelayQueue.Entry<RelayExchange> queued, Instant now) {
-    List<RelayTarget> untried = untriedTargets(now);
-    Optional<Instant> earliest = relay.load().earliestAt(untried, now);
+    Openings openings = relay.openings(request, triedTargets, now);
+    Optional<Instant> earliest = openings.earliestAt();
     if (earliest.filter(time -> time.isAfter(queued.expiresAt())).isPresent()) {
-      relay.recordRefusedAtLimit(untried, now);
+      recordRefusedAtLimit(openings);
       rejectOverloaded(
           Duration.between(now, earliest.get()), Duration.between(now, request.deadline()));
     }
   }
 
-  private List<RelayTarget> untriedTargets(Instant now) {
-    return relay.admission().routing().targetsOf(request.service().name()).stream()
-        .filter(target -> !triedTargets.contains(target.id()))
-        .filter(target -> !relay.isOverdue(target, now))
-        .toList();
+  private void recordRefusedAtLimit(Openings openings) {
+    if (openings.isAtLimit()) {
+      relay.metrics().requestRefusedAtLimit();
+    }
   }
 
   private void enqueue(RelayQueue<RelayExchange> queue, Instant now) {
     Duration remaining = Duration.between(now, request.deadline());
-    List<RelayTarget> untried = untriedTargets(now);
-    Optional<Instant> opensAt = relay.load().opensAt(untried, parsedRequest.id(), now);
+    Openings openings = relay.openings(request, triedTargets, now);
+    Optional<Instant> opensAt = openings.opensAt();
     if (opensAt.isEmpty()) {
       reject(
           ServingErrors.noTarget(request.route().name())
@@ -210,7 +209,7 @@
       return;
     }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request.deadline(), now)))) {
-      relay.recordRefusedAtLimit(untried, now);
+      recordRefusedAtLimit(openings);
       rejectOverloaded(Duration.between(now, opensAt.get()), remaining);
       return;
     }
@@ -222,7 +221,7 @@
       return;
     }
     if (opensAt.get().isAfter(now)) {
-      relay.load().addWaiting(untried, parsedRequest.id(), now);
+      relay.load().addWaiting(openings.waitable(), parsedRequest.id(), now);
     }
     var unused = schedule(this::queueTimedOut, Duration.between(now, queueEntry.get().expiresAt()));
     scheduleQueueRetry();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,6 +24,8 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.FirstTokenEstimate;
+import org.geraniumwharf.relay.Openings;
+import org.geraniumwharf.relay.PlacementQuery;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -217,17 +219,6 @@
     return load.permits().take(target.id(), target.incarnation(), now);
   }
 
-  /** Counts a request that is refused, if some of its targets are at their limits. */
-  void recordRefusedAtLimit(List<RelayTarget> targets, Instant now) {
-    boolean isAnyAtLimit =
-        targets.stream()
-            .anyMatch(
-                target -> !load.permits().isAvailable(target.id(), target.incarnation(), now));
-    if (isAnyAtLimit) {
-      metrics.requestRefusedAtLimit();
-    }
-  }
-
   /** Records bytes of a target that belong to no response. */
   void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
     metrics.unexpectedBytes(bytes.cause().wireName());
@@ -270,7 +261,7 @@
   }
 
   RelayQueue<RelayExchange> queue(ResolvedRequest request) {
-    return queues.computeIfAbsent(request.service().name(), name -> new RelayQueue<>());
+    return queues.computeIfAbsent(request.service().name(), name -> RelayQueue.create());
   }
 
   /** Returns this instance's share of the retry budget of a service. */
@@ -295,29 +286,32 @@
   /** Chooses a target that was not tried yet; empty if none has free capacity. */
   Optional<RelayPlacement.Choice> choose(
       ResolvedRequest request, Set<String> triedTargets, Instant now) {
-    List<RelayTarget> targets = admission.routing().targetsOf(request.service().name());
-    return placement.choose(
-        request,
-        targets,
-        load,
-        transfers.storedTokens(request, targets, now),
-        transfers.rates(request),
-        triedTargets,
-        liveInstances.getAsInt(),
-        now);
+    return placement.choose(query(request, triedTargets, true, now), load);
   }
 
   /** Chooses a target for a response that has started, including targets that are ejected. */
   Optional<RelayPlacement.Choice> chooseIncludingEjected(
       ResolvedRequest request, Set<String> triedTargets, Instant now) {
+    return placement.chooseIncludingEjected(query(request, triedTargets, false, now), load);
+  }
+
+  /** Returns when the targets of a request that found none are expected to accept it. */
+  Openings openings(ResolvedRequest request, Set<String> triedTargets, Instant now) {
+    Openings openings = placement.openings(query(request, triedTargets, false, now), load);
+    openings.overdue().forEach(target -> isOverdue(target, now));
+    return openings;
+  }
+
+  private PlacementQuery query(
+      ResolvedRequest request, Set<String> triedTargets, boolean countsStores, Instant now) {
     List<RelayTarget> targets = admission.routing().targetsOf(request.service().name());
-    return placement.chooseIncludingEjected(
+    return new PlacementQuery(
         request,
         targets,
-        load,
-        transfers.rates(request),
         triedTargets,
         liveInstances.getAsInt(),
+        countsStores ? transfers.storedTokens(request, targets, now) : 0,
+        transfers.rates(request),
         now);
   }
 
@@ -344,8 +338,9 @@
 
   /** Wakes the first queued requests of a service. */
   void wakeQueued(String service) {
-    queues.get(service).entriesInOrder().stream()
-        .limit(MAX_WOKEN_REQUESTS)
-        .forEach(waiting -> waiting.item().wakeFromQueue());
+    for (RelayQueue.Entry<RelayExchange> waiting :
+        queues.get(service).first(MAX_WOKEN_REQUESTS, now())) {
+      waiting.item().wakeFromQueue();
+    }
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/WeightsLimit.java
@@ -82,7 +82,12 @@
 
   /** Returns whether there are targets and no request may begin at any of them. */
   boolean isEveryOverdue(List<RelayTarget> targets, Instant now) {
-    return !targets.isEmpty() && targets.stream().allMatch(target -> isOverdue(target, now));
+    for (RelayTarget target : targets) {
+      if (!isOverdue(target, now)) {
+        return false;
+      }
+    }
+    return !targets.isEmpty();
   }
 
   private void logOverdue(RelayTarget target) {
