--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ProcessStart.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ProcessStart.java
@@ -21,7 +21,12 @@
 
   /** Returns the start of this process by the clock that {@code now} was taken from. */
   public static Instant asOf(Instant now) {
-    return now.minusMillis(ManagementFactory.getRuntimeMXBean().getUptime());
+    return now.minusMillis(millisSince());
+  }
+
+  /** Returns the time since the start of this process, ms. */
+  public static long millisSince() {
+    return ManagementFactory.getRuntimeMXBean().getUptime();
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -217,7 +217,8 @@
             .with("entry", settings.entry().orElse("none"))
             .with("control", settings.control().orElse("none"))
             .with("bootstrap", settings.isBootstrap())
-            .with("seeds", settings.seeds()));
+            .with("seeds", settings.seeds())
+            .with("millis", ProcessStart.millisSince()));
   }
 
   /**
@@ -311,6 +312,10 @@
             log,
             clock);
     relay = Optional.of(started);
+    log.info(
+        Event.of("entry-open")
+            .with("entry", settings.entry().orElseThrow())
+            .with("millis", ProcessStart.millisSince()));
     metrics.gauge("in_flight", started::inFlight);
     registerPermitGauges();
     metrics.gauge("quarantined_parts", () -> quarantine.size(clock.instant()));
