Encode messages and state without reflection

Operators saw processes that took seconds of processor time to start: the codec of the messages between instances introspected every record on its first use, on the threads that elect a leader and receive the first view.

The generator writes an encoder and a decoder for each record of messages and state, and for all that they refer to, on top of msgpack-core; Jackson stays for JSON.

Encoded sizes and the protocol version do not change.

--- a/geraniumwharf-generator/src/main/java/org/geraniumwharf/generator/SchemaGenerator.java
+++ b/geraniumwharf-generator/src/main/java/org/geraniumwharf/generator/SchemaGenerator.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.geraniumwharf.internal.generator.CodecWriter;
 import org.geraniumwharf.internal.generator.DefinitionReader;
 import org.geraniumwharf.internal.generator.SchemaDefinition;
 import org.geraniumwharf.internal.generator.TypeWriter;
 
 /**
- * Writes one immutable Java type for each definition of the schemas.
+ * Writes one immutable Java type for each definition of the schemas, and the codec of messages and
+ * state.
  *
  * <pre>{@code
  * Map<Path, String> sources = SchemaGenerator.render(schemaFolder);
@@ -37,6 +39,10 @@
       Path path = Path.of(definition.packageName().replace('.', '/'), definition.name() + ".java");
       sources.put(path, file.toString());
     }
+    for (JavaFile file : CodecWriter.write(definitions)) {
+      Path folder = Path.of(file.packageName().replace('.', '/'));
+      sources.put(folder.resolve(file.typeSpec().name() + ".java"), file.toString());
+    }
     return sources;
   }
 
--- a/geraniumwharf-generator/src/main/java/org/geraniumwharf/internal/generator/PropertyType.java
+++ b/geraniumwharf-generator/src/main/java/org/geraniumwharf/internal/generator/PropertyType.java
@@ -61,6 +61,10 @@
         .replaceAll(match -> match.group(1).toUpperCase(Locale.ROOT));
   }
 
+  String jsonName() {
+    return jsonName;
+  }
+
   String text() {
     return text;
   }
--- a/geraniumwharf-schema/src/main/java/org/geraniumwharf/schema/Codec.java
+++ b/geraniumwharf-schema/src/main/java/org/geraniumwharf/schema/Codec.java
@@ -11,15 +11,13 @@
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
- * Reads and writes the generated records, as JSON or as MessagePack. Immutable and safe for use by
- * several threads.
+ * Reads and writes the generated records as JSON. Immutable and safe for use by several threads.
  *
  * <pre>{@code
- * byte[] bytes = Codec.messagePack().encode(frame);
- * Frame copy = Codec.messagePack().decode(bytes, Frame.class);
+ * byte[] bytes = Codec.json().encode(answer);
+ * ModelList copy = Codec.json().decode(bytes, ModelList.class);
  * }</pre>
  */
 public final class Codec {
@@ -36,8 +34,9 @@
     return JsonHolder.CODEC;
   }
 
-  public static Codec messagePack() {
-    return MessagePackHolder.CODEC;
+  /** Returns the codec of messages and state. */
+  public static MessagePackCodec messagePack() {
+    return MessagePackCodec.INSTANCE;
   }
 
   /** Created on first use, since an entry instance may never use JSON. */
@@ -46,12 +45,6 @@
     private static final Codec CODEC = new Codec(jsonMapper());
   }
 
-  private static final class MessagePackHolder {
-
-    private static final Codec CODEC =
-        new Codec(configured(new ObjectMapper(new MessagePackFactory())));
-  }
-
   private static ObjectMapper jsonMapper() {
     JsonMapper mapper = JsonMapper.builder().build();
     mapper
@@ -78,7 +71,7 @@
     }
   }
 
-  /** Encodes a record as text; JSON only. */
+  /** Encodes a record as text. */
   public String encodeText(Object value) {
     try {
       return mapper.writeValueAsString(value);
@@ -87,7 +80,7 @@
     }
   }
 
-  /** Encodes a record as indented text for people; JSON only. */
+  /** Encodes a record as indented text for people. */
   public String encodeIndented(Object value) {
     try {
       return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(value);
