--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
@@ -14,6 +14,7 @@
 import org.geraniumwharf.internal.bench.ReplayMeasurements;
 import org.geraniumwharf.internal.profile.ProcessorProfile;
 import org.geraniumwharf.internal.profile.ProfileOptions;
+import org.geraniumwharf.internal.bench.restart.RestartTimeline;
 
 /**
  * The program behind {@code scripts/bench}.
@@ -26,6 +27,7 @@
  * load-tool replay
  * load-tool processor [--controls N] [--entries N] [--engines N] [--rate R] [--load S] [--rest S]
  *     [--machine "OPTIONS"] [--compared "OPTIONS"] [--sampled]
+ * load-tool restart --root DIR --folder DIR --entries N --rate N --down MILLIS --seconds N
  * }</pre>
  */
 public final class LoadTool {
@@ -48,7 +50,11 @@
           .addOption(null, "machine", true, "further options of the virtual machines")
           .addOption(
               null, "compared", true, "options of the further entry instances, separated by |")
-          .addOption(null, "sampled", false, "sample stacks, which costs time itself");
+          .addOption(null, "sampled", false, "sample stacks, which costs time itself")
+          .addOption(null, "root", true, "root of the repository")
+          .addOption(null, "folder", true, "folder of logs and data")
+          .addOption(null, "down", true, "time for which the processes stay down, ms")
+          .addOption(null, "seconds", true, "time to measure");
 
   private LoadTool() {}
 
@@ -90,6 +96,7 @@
           output.print(ControlMeasurements.ofOrganisations(path(line, "fleet"), count(line)));
       case "replay" -> output.print(ReplayMeasurements.run());
       case "processor" -> ProcessorProfile.run(profileOptions(line), output);
+      case "restart" -> output.print(RestartTimeline.run(restartPlan(line)));
       default -> throw new ParseException("unknown command");
     }
   }
@@ -125,8 +132,22 @@
     return Path.of(required(line, option));
   }
 
+  private static RestartTimeline.Plan restartPlan(CommandLine line) throws ParseException {
+    return new RestartTimeline.Plan(
+        path(line, "root"),
+        path(line, "folder"),
+        number(line, "entries"),
+        number(line, "rate"),
+        number(line, "down"),
+        number(line, "seconds"));
+  }
+
   private static int count(CommandLine line) throws ParseException {
-    return Integer.parseInt(required(line, "count"));
+    return number(line, "count");
+  }
+
+  private static int number(CommandLine line, String option) throws ParseException {
+    return Integer.parseInt(required(line, option));
   }
 
   private static String required(CommandLine line, String option) throws ParseException {
