Count the time of started control without a leader for replaced weights

An entry counted time only while a leader confirmed its view, and a control process told a watcher with a newer view nothing until it had caught up, so that entries did not know of it.

A control process now tells waiting watchers its index, the age of its view and for how long it has run. An entry counts such a message like a confirmation from 3 s after the start of a process that was started within 30 s, but a name that it missed still counts from the last confirmation before. An instance that is heard with an older view no longer accounts for itself by the connections that it refused before: with most instances so, an entry whose view was not confirmed for the lease refuses requests.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ViewStream.java
@@ -53,8 +53,8 @@
   }
 
   /**
-   * Adds a watcher. If its view is newer than this replica's, it receives nothing until the replica
-   * has caught up.
+   * Adds a watcher. If its view is newer than this replica's, it receives no view until the replica
+   * has caught up, but is told how old this replica's is.
    *
    * @param afterIndex index of the view that the watcher holds; 0 for none
    * @param ageMillis time since a quorum last confirmed the leader
@@ -89,11 +89,15 @@
     watchers.removeIf(sink -> !sink.offer(delta(change, ageMillis)));
   }
 
-  /** Sends the applied index and its age to every watcher, and admits those that wait for it. */
+  /**
+   * Sends the applied index and its age to every watcher, and admits those that wait for it. The
+   * others learn from it that this replica runs and for how long.
+   */
   void sendFreshness(long appliedIndex, long ageMillis) {
     index = appliedIndex;
     watchers.removeIf(sink -> !sink.offer(freshness(ageMillis)));
     admitWaiting(ageMillis);
+    waitingWatchers.removeIf(waiting -> !waiting.sink().offer(freshness(ageMillis)));
   }
 
   private void admitWaiting(long ageMillis) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
@@ -6,7 +6,7 @@
 
 /**
  * Time for which something was confirmed again and again without a gap, in its present stretch and
- * in all of them. Immutable.
+ * in all of them. Time in which a confirmation was due may count too, see {@link #due}. Immutable.
  */
 public final class ConfirmedTime {
 
@@ -15,17 +15,29 @@
 
   private final Duration earlierStretches;
   private final Instant stretchStart;
+
+  /** Time of the last confirmation, or until which one was due. */
+  private final Instant countedTo;
+
   private final Instant last;
+  private final Duration totalAtLast;
 
-  private ConfirmedTime(Duration earlierStretches, Instant stretchStart, Instant last) {
+  private ConfirmedTime(
+      Duration earlierStretches,
+      Instant stretchStart,
+      Instant countedTo,
+      Instant last,
+      Duration totalAtLast) {
     this.earlierStretches = earlierStretches;
     this.stretchStart = stretchStart;
+    this.countedTo = countedTo;
     this.last = last;
+    this.totalAtLast = totalAtLast;
   }
 
   /** Returns the time of a first confirmation. */
   public static ConfirmedTime startingAt(Instant first) {
-    return new ConfirmedTime(Duration.ZERO, first, first);
+    return new ConfirmedTime(Duration.ZERO, first, first, first, Duration.ZERO);
   }
 
   /** Returns the time with one more confirmation; one before the last changes nothing. */
@@ -43,11 +55,35 @@
     if (!at.isAfter(last)) {
       return this;
     }
-    Instant gapStart = last.plus(MAX_GAP);
+    ConfirmedTime counted = countedTo(at, expectedSince);
+    return new ConfirmedTime(
+        counted.earlierStretches,
+        counted.stretchStart,
+        counted.countedTo,
+        at,
+        counted.total(at));
+  }
+
+  /**
+   * Returns the time with a moment at which a confirmation was due and none came. It counts like a
+   * confirmation, but {@link #last} stays, since something newer may be unknown.
+   *
+   * @param expectedSince time from which on confirmations were to be expected
+   */
+  public ConfirmedTime due(Instant at, Instant expectedSince) {
+    return at.isAfter(expectedSince) ? countedTo(at, Optional.of(expectedSince)) : this;
+  }
+
+  private ConfirmedTime countedTo(Instant at, Optional<Instant> expectedSince) {
+    if (!at.isAfter(countedTo)) {
+      return this;
+    }
+    Instant gapStart = countedTo.plus(MAX_GAP);
     Instant next = expectedSince.filter(at::isAfter).orElse(at);
-    return at.isAfter(gapStart) && next.isAfter(last)
-        ? new ConfirmedTime(total(at), next.isAfter(gapStart) ? next : gapStart, at)
-        : new ConfirmedTime(earlierStretches, stretchStart, at);
+    return at.isAfter(gapStart) && next.isAfter(countedTo)
+        ? new ConfirmedTime(
+            total(at), next.isAfter(gapStart) ? next : gapStart, at, last, totalAtLast)
+        : new ConfirmedTime(earlierStretches, stretchStart, at, last, totalAtLast);
   }
 
   /** Returns the time of the last confirmation. */
@@ -55,6 +91,11 @@
     return last;
   }
 
+  /** Returns the length of all stretches at the last confirmation. */
+  public Duration totalAtLast() {
+    return totalAtLast;
+  }
+
   /** Returns whether there was no gap since the first confirmation. */
   public boolean isInFirstStretch() {
     return earlierStretches.isZero();
@@ -73,7 +114,7 @@
   }
 
   private Instant end(Instant now) {
-    Instant latest = last.plus(MAX_GAP);
+    Instant latest = countedTo.plus(MAX_GAP);
     return now.isBefore(latest) ? now : latest;
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ProcessStart.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ProcessStart.java
@@ -24,6 +24,11 @@
     return now.minusMillis(ManagementFactory.getRuntimeMXBean().getUptime());
   }
 
+  /** Returns whether a process that was started a time ago is expected to serve. */
+  public static boolean isExpectedToServe(Duration up) {
+    return up.compareTo(START_TIME) >= 0;
+  }
+
   /**
    * Returns the time from which on a process that was started lately is expected to serve; empty if
    * it was started longer ago.
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/weights/ReplacedWeights.java
@@ -67,23 +67,19 @@
      */
     static Name of(long version, Optional<ConfirmedTime> confirmed) {
       Instant notBefore = confirmed.map(ConfirmedTime::last).orElse(Instant.MIN);
-      return new Name(
-          version, notBefore, total(confirmed, notBefore), Duration.ZERO, Duration.ZERO);
+      Duration before = confirmed.map(ConfirmedTime::totalAtLast).orElse(Duration.ZERO);
+      return new Name(version, notBefore, before, Duration.ZERO, Duration.ZERO);
     }
 
     static Name told(NamedDuration named, Optional<ConfirmedTime> confirmed, Instant at) {
       return new Name(
           named.version(),
           at,
-          total(confirmed, at),
+          confirmed.map(time -> time.total(at)).orElse(Duration.ZERO),
           Duration.ofMillis(named.stretchMillis()),
           Duration.ofMillis(named.totalMillis()));
     }
 
-    private static Duration total(Optional<ConfirmedTime> confirmed, Instant at) {
-      return confirmed.map(time -> time.total(at)).orElse(Duration.ZERO);
-    }
-
     Name withVersion(long newVersion) {
       return new Name(newVersion, notBefore, confirmedBefore, toldInStretch, toldInTotal);
     }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/time/ConfirmedTimeTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/time/ConfirmedTimeTest.java
@@ -91,4 +91,30 @@
     assertEquals(NOW, time.last());
     assertEquals(Duration.ofSeconds(1), time.total(NOW.plusSeconds(1)));
   }
+
+  /** Control lost at 1 s, started at 2 s, due from 5 s on, without a leader until 9 s. */
+  @Test
+  void should_count_the_time_in_which_a_confirmation_was_due() {
+    ConfirmedTime time = ConfirmedTime.startingAt(NOW).confirmed(NOW.plusSeconds(1));
+
+    for (int second = 4; second <= 9; second++) {
+      time = time.due(NOW.plusSeconds(second), NOW.plusSeconds(5));
+    }
+
+    assertEquals(Duration.ofSeconds(4), time.inStretchSince(NOW, NOW.plusSeconds(9)));
+    assertEquals(NOW.plusSeconds(1), time.last());
+    assertEquals(Duration.ofSeconds(1), time.totalAtLast());
+  }
+
+  @Test
+  void should_go_on_with_the_stretch_when_a_confirmation_that_was_due_comes() {
+    ConfirmedTime time =
+        ConfirmedTime.startingAt(NOW)
+            .due(NOW.plusSeconds(7), NOW.plusSeconds(5))
+            .confirmed(NOW.plusSeconds(8), Optional.of(NOW.plusSeconds(5)));
+
+    assertEquals(Duration.ofSeconds(3), time.inStretchSince(NOW, NOW.plusSeconds(8)));
+    assertEquals(NOW.plusSeconds(8), time.last());
+    assertEquals(time.total(NOW.plusSeconds(8)), time.totalAtLast());
+  }
 }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/weights/ReplacedWeightsTest.java
@@ -79,6 +79,19 @@
     assertFalse(isOverdue(1));
   }
 
+  // Guards against a version named right before a loss of control that counts from after it.
+  @Test
+  void should_count_the_time_in_which_a_confirmation_was_due_for_a_name_that_was_missed() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant expected = now.plusSeconds(3);
+    now = now.plusSeconds(8);
+    confirmed = confirmed.map(time -> time.due(now, expected));
+
+    name(2);
+
+    assertTrue(isOverdue(1));
+  }
+
   @Test
   void should_count_a_stretch_anew_after_a_gap() {
     confirmFor(Duration.ofSeconds(1));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlReachability.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlReachability.java
@@ -7,8 +7,9 @@
 import java.util.Set;
 
 /**
- * Which control instances cannot be accepting changes behind this daemon's back: those it hears,
- * and those whose process is certainly not running because their address refuses connections.
+ * Which control instances cannot be accepting changes behind this daemon's back: those it hears
+ * and whose view is not older than its own, and those whose process is certainly not running
+ * because their address refuses connections.
  */
 final class ControlReachability {
 
@@ -23,6 +24,14 @@
     accountedAt.put(name, now);
   }
 
+  /**
+   * Records that an instance runs and has had time to serve, but its view is older than the
+   * daemon's. That it refused connections before no longer tells anything.
+   */
+  synchronized void heardBehind(String name) {
+    accountedAt.remove(name);
+  }
+
   /**
    * Tells whether the instances that are not accounted for are too few to be a quorum, so that
    * nothing newer can have been accepted.
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -67,7 +67,10 @@
         : Optional.of(Duration.between(confirmed, now));
   }
 
-  /** Returns the time for which the view has been confirmed; empty if it never was. */
+  /**
+   * Returns the time for which the view has been confirmed or its confirmation was due; empty if it
+   * never was confirmed.
+   */
   public Optional<ConfirmedTime> confirmedTime() {
     return confirmedTime;
   }
@@ -106,7 +109,7 @@
       }
       return received(freshness.index(), freshness.ageMillis(), freshness.upMillis(), now);
     }
-    return new Received(0, Duration.ofDays(1));
+    return new Received(0, Duration.ofDays(1), false);
   }
 
   /** Only the first view tells of names of which no view before it can. */
@@ -135,14 +138,26 @@
 
   private Received received(long index, long ageMillis, Optional<Long> upMillis, Instant now) {
     Instant confirmed = now.minusMillis(ageMillis);
+    Optional<Instant> controlServingSince =
+        upMillis.flatMap(up -> ProcessStart.servingSince(now.minusMillis(up), now));
     if (index >= current.index() && confirmed.isAfter(freshAt)) {
       freshAt = confirmed;
       if (ageMillis < NEVER_CONFIRMED_MILLIS) {
-        recordConfirmed(
-            confirmed, upMillis.flatMap(up -> ProcessStart.servingSince(now.minusMillis(up), now)));
+        recordConfirmed(confirmed, controlServingSince);
       }
     }
-    return new Received(index, Duration.ofMillis(ageMillis));
+    controlServingSince.ifPresent(since -> recordDue(now, since));
+    boolean isExpectedToServe =
+        upMillis.filter(up -> ProcessStart.isExpectedToServe(Duration.ofMillis(up))).isPresent();
+    return new Received(index, Duration.ofMillis(ageMillis), isExpectedToServe);
+  }
+
+  /**
+   * Counts the time of a control process that was started lately, has had time to serve and is in
+   * touch, but cannot confirm the view, for example since its group has no leader.
+   */
+  private void recordDue(Instant now, Instant controlServingSince) {
+    confirmedTime = confirmedTime.map(time -> time.due(now, controlServingSince));
   }
 
   private void recordConfirmed(Instant confirmed, Optional<Instant> controlServingSince) {
@@ -172,6 +187,12 @@
    */
   public record NamedBefore(List<NamedDuration> durations, Instant confirmedAt) {}
 
-  /** Index and age that a message told. */
-  record Received(long index, Duration age) {}
+  /**
+   * What a message told.
+   *
+   * @param index index of the sender's view
+   * @param age time since that view was confirmed
+   * @param isExpectedToServe whether the sender has run for long enough to serve
+   */
+  record Received(long index, Duration age, boolean isExpectedToServe) {}
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewWatcher.java
@@ -165,10 +165,6 @@
     if (watch.isGivenUp) {
       return;
     }
-    if (received.message() instanceof WatchFreshness freshness) {
-      directory.learn(freshness.members());
-    }
-    reachability.accountedFor(watch.instance, received.at());
     Instant freshBefore = holder.freshAt();
     for (String givenUp : apply(plan, received)) {
       Watch other = watches.get(givenUp);
@@ -182,10 +178,18 @@
     try {
       holder.watching(received.watch().instance);
       FleetViewHolder.Received applied = holder.apply(received.message(), received.at());
-      return applied.index() >= holder.current().index()
-          ? plan.received(
-              received.watch().instance, received.at().minus(applied.age()), clock.instant())
-          : List.of();
+      String instance = received.watch().instance;
+      if (applied.index() < holder.current().index()) {
+        if (applied.isExpectedToServe()) {
+          reachability.heardBehind(instance);
+        }
+        return List.of();
+      }
+      if (received.message() instanceof WatchFreshness freshness) {
+        directory.learn(freshness.members());
+      }
+      reachability.accountedFor(instance, received.at());
+      return plan.received(instance, received.at().minus(applied.age()), clock.instant());
     } catch (RuntimeException e) {
       log.warn(Event.of("view-listener-failed").with("cause", e));
       return List.of();
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -60,6 +60,12 @@
         WatchFreshness.of(holder.current().index(), 0, Optional.of(up.toMillis()), List.of()), now);
   }
 
+  /** Tells a holder of a started control process without a leader, whose view is an older one. */
+  public static void tellBehindWithoutLeader(FleetViewHolder holder, Duration up, Instant now) {
+    holder.apply(
+        WatchFreshness.of(0, NEVER_CONFIRMED_MILLIS, Optional.of(up.toMillis()), List.of()), now);
+  }
+
   /** Replaces a view by one of engines and of the weights that operators name, at a later index. */
   public static void replaceWeights(
       FleetViewHolder holder, List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ReadinessTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ReadinessTest.java
@@ -2,7 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -33,4 +35,28 @@
         assertThrows(ServingException.class, () -> readiness.check(NOW.plusSeconds(2)));
     assertEquals(ErrorKind.SHUTTING_DOWN, refused.kind());
   }
+
+  /**
+   * Guards against requests that are served by a view which misses a change that was confirmed
+   * right before a loss of all control, while the processes run again and confirm nothing.
+   */
+  @Test
+  void should_refuse_requests_while_most_control_instances_run_again_and_confirm_nothing() {
+    ControlReachability reachability = new ControlReachability(3);
+    Readiness afterLoss =
+        Readiness.create(
+            FleetFixtures.holder(List.of(), List.of(), NOW), reachability, Duration.ofSeconds(5));
+    afterLoss.confirmed(1);
+    Instant refused = NOW.plusSeconds(6);
+    List.of("c-1", "c-2", "c-3").forEach(name -> reachability.accountedFor(name, refused));
+    boolean isServingWithoutControl = afterLoss.isReady(refused.plusSeconds(1));
+
+    reachability.heardBehind("c-1");
+    boolean isServingWithOne = afterLoss.isReady(refused.plusSeconds(1));
+    reachability.heardBehind("c-2");
+
+    assertTrue(isServingWithoutControl);
+    assertTrue(isServingWithOne);
+    assertFalse(afterLoss.isReady(refused.plusSeconds(1)));
+  }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/WeightsLimitTest.java
@@ -148,6 +148,28 @@
     assertTrue(limit.isOverdue(OLD, served));
   }
 
+  /**
+   * Guards against requests on replaced weights while control processes that were started have no
+   * lasting leader: they confirm nothing, and their view is older than the entry's.
+   */
+  @Test
+  void should_count_the_time_in_which_started_control_had_no_leader() {
+    confirmFor(Duration.ofSeconds(1));
+    Instant startedAt = NOW.plusSeconds(2);
+
+    List<Long> overdueMillis = new ArrayList<>();
+    for (long up = 0; up <= 8000; up += 250) {
+      Instant now = startedAt.plusMillis(up);
+      FleetFixtures.tellBehindWithoutLeader(holder, Duration.ofMillis(up), now);
+      if (limit.isOverdue(OLD, now)) {
+        overdueMillis.add(up);
+      }
+    }
+
+    // The bound is 6 s from 3 s after the start, less the margin, or a little less by the total.
+    assertEquals(7000, overdueMillis.get(0));
+  }
+
   /**
    * Guards against the same after a loss of all processes: an entry that has just started gets its
    * view in pieces before any is confirmed, and learns from none when a version was named.
