--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/routing/RendezvousHash.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/internal/routing/RendezvousHash.java
@@ -61,6 +61,18 @@
     return HASHER.hashLongLongToLong(targetHash, key);
   }
 
+  /**
+   * Returns a number that depends on a target and a key, both given as hashes of their names. It
+   * takes a tenth of the time of {@link #weight} while the code is interpreted, but is not the same
+   * in all versions of the program.
+   */
+  public static long mixed(long targetHash, long key) {
+    long mixed = targetHash ^ key;
+    mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
+    mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return mixed ^ (mixed >>> 33);
+  }
+
   private static long weight(RoutableTarget target, long key) {
     return weight(target.hash(), key);
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/Openings.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/Openings.java
@@ -4,19 +4,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.limit.TargetPermits;
 
 /**
  * When the targets of a request that found none are expected to accept it, derived from what
  * excludes them.
  *
- * @param waitable targets that may accept the request while it waits
- * @param overdue targets that are excluded because of their weights
+ * @param waitable targets that may accept the request while it waits; incomplete if one of them may
+ *     accept it at any time
+ * @param overdue targets that were found to be excluded because of their weights
  * @param opensAt time at which the first target is expected to accept the request, behind those
  *     that wait already; empty without a waitable target
  * @param earliestAt time before which no target accepts any request; empty without a waitable
  *     target
- * @param changesAt time before which the exclusions remain as they are unless the load, the view or
- *     the permits change
  * @param isAtLimit whether a waitable target is at its limit
  */
 public record Openings(
@@ -24,37 +24,31 @@
     List<RelayTarget> overdue,
     Optional<Instant> opensAt,
     Optional<Instant> earliestAt,
-    Instant changesAt,
     boolean isAtLimit) {
 
   /** Collects the exclusions of one target after the other. */
   static final class Builder {
 
     private final PlacementQuery query;
-    private final RelayLoadTable table;
+    private final TargetPermits permits;
     private final List<RelayTarget> waitable = new ArrayList<>();
     private final List<RelayTarget> overdue = new ArrayList<>();
     private Instant opensAt = Instant.MAX;
     private Instant earliestAt = Instant.MAX;
-    private Instant changesAt;
     private boolean isAtLimit;
 
     private RelayTarget target;
-    private RelayLoadTable.Load load;
-    private Instant end;
+    private Instant end = Instant.MIN;
     private boolean isTargetLasting;
     private boolean isTargetAtLimit;
 
-    Builder(PlacementQuery query, RelayLoadTable table) {
+    Builder(PlacementQuery query, TargetPermits permits) {
       this.query = query;
-      this.table = table;
-      Instant expiry = table.remoteLoadExpiresAt();
-      this.changesAt = expiry.isAfter(query.now()) ? expiry : Instant.MAX;
+      this.permits = permits;
     }
 
-    void startTarget(RelayTarget next, RelayLoadTable.Load nextLoad) {
+    void startTarget(RelayTarget next) {
       target = next;
-      load = nextLoad;
       end = query.now();
       isTargetLasting = false;
       isTargetAtLimit = false;
@@ -65,25 +59,11 @@
       if (reason == Exclusion.Reason.WEIGHTS_OVERDUE) {
         overdue.add(target);
       }
-      if (exclusion.isLasting()) {
-        isTargetLasting = true;
-        return;
-      }
-      boolean isTimed = reason.effect() == Exclusion.Effect.TIMED;
-      if (isTimed && exclusion.until().isPresent()) {
+      isTargetLasting |= exclusion.isLasting();
+      isTargetAtLimit |= reason == Exclusion.Reason.NO_PERMIT;
+      if (reason.effect() == Exclusion.Effect.TIMED && exclusion.until().isPresent()) {
         end = later(end, exclusion.until().get());
       }
-      if (reason == Exclusion.Reason.NO_PERMIT) {
-        isTargetAtLimit = true;
-      }
-      exclusion.until().ifPresent(this::changesNotBefore);
-      if (reason == Exclusion.Reason.EJECTED && load.probeFrom().isAfter(query.now())) {
-        changesNotBefore(load.probeFrom());
-      }
-    }
-
-    private void changesNotBefore(Instant time) {
-      changesAt = time.isBefore(changesAt) ? time : changesAt;
     }
 
     void endTarget() {
@@ -91,27 +71,26 @@
         return;
       }
       waitable.add(target);
+      isAtLimit |= isTargetAtLimit;
       earliestAt = end.isBefore(earliestAt) ? end : earliestAt;
       Instant turn = isTargetAtLimit ? later(end, expectedPermitAt()) : end;
       opensAt = turn.isBefore(opensAt) ? turn : opensAt;
-      if (isTargetAtLimit) {
-        isAtLimit = true;
-        // Without answers of the leader the instance issues permits of its own.
-        changesAt = query.now();
-      }
     }
 
     private Instant expectedPermitAt() {
-      return table
-          .permits()
-          .expectedAt(
-              target.id(), target.incarnation(), query.request().request().id(), query.now());
+      return permits.expectedAt(
+          target.id(), target.incarnation(), query.request().request().id(), query.now());
     }
 
     private static Instant later(Instant one, Instant other) {
       return one.isAfter(other) ? one : other;
     }
 
+    /** Returns whether a target may accept the request at any time. */
+    boolean isOpen() {
+      return !opensAt.isAfter(query.now());
+    }
+
     Openings build() {
       boolean isAny = !waitable.isEmpty();
       return new Openings(
@@ -119,7 +98,6 @@
           List.copyOf(overdue),
           isAny ? Optional.of(opensAt) : Optional.empty(),
           isAny ? Optional.of(earliestAt) : Optional.empty(),
-          changesAt,
           isAtLimit);
     }
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PartKeys.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PartKeys.java
@@ -23,11 +23,12 @@
   List<String> at(RelayTarget target) {
     if (lastKeys.isEmpty() || lastVersion != target.weightsVersion()) {
       lastVersion = target.weightsVersion();
-      lastKeys =
-          keysByVersion.computeIfAbsent(
-              lastVersion,
-              version ->
-                  CachedParts.keys(resolved.cacheScope(target), resolved.request().prompt()));
+      List<String> known = keysByVersion.get(lastVersion);
+      if (known == null) {
+        known = CachedParts.keys(resolved.cacheScope(target), resolved.request().prompt());
+        keysByVersion.put(lastVersion, known);
+      }
+      lastKeys = known;
     }
     return lastKeys;
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementQuery.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementQuery.java
@@ -25,7 +25,8 @@
   private final long footprint;
   private final PartKeys partKeys;
   private final long requestKey;
-  private String preferred = "";
+  private boolean isPreferredFound;
+  private int preferredIndex = -1;
   private int sharedTokens = -1;
 
   /**
@@ -123,25 +124,43 @@
   }
 
   /**
-   * Returns whether rendezvous hashing prefers a target for the context of a generation, so that
-   * instances agree without communicating.
+   * Returns the index of the target that rendezvous hashing prefers for the context of a
+   * generation, so that instances agree without communicating; -1 if there is none.
    */
-  boolean isPreferred(RelayTarget target) {
-    if (preferred.isEmpty() && isGeneration) {
-      preferred = findPreferred();
+  int preferredIndex() {
+    if (!isPreferredFound) {
+      isPreferredFound = true;
+      preferredIndex = isGeneration ? findPreferred() : -1;
     }
-    return target.id().equals(preferred);
+    return preferredIndex;
+  }
+
+  /** Sets the index of the preferred target, which an earlier query for the context found. */
+  void setPreferredIndex(int index) {
+    isPreferredFound = true;
+    preferredIndex = index;
   }
 
-  private String findPreferred() {
+  /** Returns the id of the last part of a generation that other requests share. */
+  String context() {
     List<PromptPart> shared = request.sharedParts();
-    long key = RendezvousHash.keyOf(shared.get(shared.size() - 1).id());
-    String found = "";
+    return shared.get(shared.size() - 1).id();
+  }
+
+  /** Returns whether a target is preferred for the context of a generation. */
+  boolean isPreferred(RelayTarget target) {
+    int index = preferredIndex();
+    return index >= 0 && targets.get(index).id().equals(target.id());
+  }
+
+  private int findPreferred() {
+    long key = RendezvousHash.keyOf(context());
+    int found = -1;
     long greatest = Long.MIN_VALUE;
-    for (RelayTarget target : targets) {
-      long weight = RendezvousHash.weight(target.hash(), key);
-      if (found.isEmpty() || weight > greatest) {
-        found = target.id();
+    for (int i = 0; i < targets.size(); i++) {
+      long weight = RendezvousHash.weight(targets.get(i).hash(), key);
+      if (found < 0 || weight > greatest) {
+        found = i;
         greatest = weight;
       }
     }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,12 +23,19 @@
   /** Age up to which reported load is a better estimate than none. */
   private static final Duration REMOTE_LOAD_VALIDITY = Duration.ofMillis(1500);
 
+  /** Contexts of a service whose preferred targets are kept. */
+  private static final int MAX_CONTEXTS = 1000;
+
   private static final TargetWork NO_LOAD = TargetWork.of("", 0, 0, 0);
 
   private final Map<String, Entry> entries = new HashMap<>();
+  private final Map<String, Group> groups = new HashMap<>();
+  private final PartIndex partIndex = new PartIndex();
   private final TargetAvailability availability;
   private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
+  private long changes;
+  private long ends;
 
   private RelayLoadTable(TargetAvailability availability, TargetPermits permits) {
     this.availability = availability;
@@ -92,49 +100,135 @@
   }
 
   /** Returns the load of a target for one request. */
-  public Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
+  public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
     EngineRates noRates = new EngineRates(1, 1);
-    return loads(new PlacementQuery(resolved, List.of(target), Set.of(), 1, 0, noRates, now))[0];
+    List<RelayTarget> targets = List.of(target);
+    PlacementQuery query = new PlacementQuery(resolved, targets, Set.of(), 1, 0, noRates, now);
+    return new View(query, group(targets)).load(0);
   }
 
-  /** Returns the load of each target of a query, in order. */
-  synchronized Load[] loads(PlacementQuery query) {
-    Instant now = query.now();
-    boolean hasRemoteReport = now.isBefore(remoteLoadExpiresAt);
-    boolean isAnyLimited = permits.isAnyLimited();
-    List<RelayTarget> targets = query.targets();
-    Load[] loads = new Load[targets.size()];
-    for (int i = 0; i < loads.length; i++) {
-      loads[i] = load(query, targets.get(i), hasRemoteReport, isAnyLimited, now);
+  /** Returns the loads of the targets of a query, which are computed as they are needed. */
+  synchronized View view(PlacementQuery query) {
+    String service = query.request().service().name();
+    Group group = groups.get(service);
+    if (group == null || group.targets != query.targets()) {
+      group = group(query.targets());
+      groups.put(service, group);
     }
-    return loads;
+    return new View(query, group);
   }
 
-  private Load load(
-      PlacementQuery query,
-      RelayTarget target,
-      boolean hasRemoteReport,
-      boolean isAnyLimited,
-      Instant now) {
-    Entry entry = entry(target.id());
-    TargetWork remote = hasRemoteReport ? entry.remote : NO_LOAD;
-    return new Load(
-        entry.inFlight + remote.requests(),
-        entry.footprint + remote.tokens(),
-        entry.backlogMillis + remote.backlogMillis(),
-        hasRemoteReport,
-        cachedTokens(query, target, entry.parts),
-        availability.exclusion(target, entry.inFlight, now),
-        entry.health.exclusion(now),
-        entry.health.probeFrom(),
-        entry.inFlight == 0,
-        isAnyLimited ? limitExclusion(target, now) : Optional.empty());
+  private Group group(List<RelayTarget> targets) {
+    Entry[] found = new Entry[targets.size()];
+    long[] hashes = new long[found.length];
+    boolean isOfOneVersion = true;
+    for (int i = 0; i < found.length; i++) {
+      found[i] = entry(targets.get(i).id());
+      hashes[i] = targets.get(i).hash();
+      isOfOneVersion &= targets.get(i).weightsVersion() == targets.get(0).weightsVersion();
+    }
+    return new Group(targets, found, hashes, isOfOneVersion);
   }
 
-  private static int cachedTokens(PlacementQuery query, RelayTarget target, CachedParts parts) {
-    return !query.isGeneration() || parts.isEmpty()
-        ? 0
-        : parts.cachedTokens(query.partKeys().at(target), query.request().request().prompt());
+  /** What is found once for each list of targets of a service. */
+  private static final class Group {
+
+    private final List<RelayTarget> targets;
+    private final Entry[] entries;
+    private final long[] hashes;
+    private final boolean isOfOneVersion;
+    private final Map<String, Integer> preferredByContext = new HashMap<>();
+
+    private Group(
+        List<RelayTarget> targets, Entry[] entries, long[] hashes, boolean isOfOneVersion) {
+      this.targets = targets;
+      this.entries = entries;
+      this.hashes = hashes;
+      this.isOfOneVersion = isOfOneVersion;
+    }
+
+    /** Finds the preferred target of a query, once for each context. */
+    private void findPreferred(PlacementQuery query) {
+      String context = query.context();
+      Integer known = preferredByContext.get(context);
+      if (known != null) {
+        query.setPreferredIndex(known);
+        return;
+      }
+      if (preferredByContext.size() >= MAX_CONTEXTS) {
+        preferredByContext.clear();
+      }
+      preferredByContext.put(context, query.preferredIndex());
+    }
+  }
+
+  /** Loads of the targets of one query. */
+  final class View {
+
+    private final PlacementQuery query;
+    private final Group group;
+    private final boolean hasRemoteReport;
+    private final boolean isAnyLimited;
+    private final int[] cachedTokens;
+
+    private View(PlacementQuery query, Group group) {
+      this.query = query;
+      this.group = group;
+      this.hasRemoteReport = query.now().isBefore(remoteLoadExpiresAt);
+      this.isAnyLimited = permits.isAnyLimited();
+      this.cachedTokens = new int[group.entries.length];
+      if (query.isGeneration() && cachedTokens.length > 0) {
+        findCachedTokens();
+        group.findPreferred(query);
+      }
+    }
+
+    private void findCachedTokens() {
+      List<PromptPart> parts = query.request().request().prompt();
+      PartKeys keys = query.partKeys();
+      if (group.isOfOneVersion) {
+        long search = partIndex.search(keys.at(group.targets.get(0)), parts);
+        for (int i = 0; i < cachedTokens.length; i++) {
+          cachedTokens[i] = group.entries[i].parts.foundTokens(search);
+        }
+      } else {
+        for (int i = 0; i < cachedTokens.length; i++) {
+          List<String> keysAtTarget = keys.at(group.targets.get(i));
+          cachedTokens[i] = group.entries[i].parts.cachedTokens(keysAtTarget, parts);
+        }
+      }
+    }
+
+    /** Returns the tokens of the prompt that the target with an index probably has cached. */
+    int cachedTokens(int index) {
+      return cachedTokens[index];
+    }
+
+    /** Returns the hash of the id of the target with an index. */
+    long hash(int index) {
+      return group.hashes[index];
+    }
+
+    /** Returns the load of the target with an index. */
+    Load load(int index) {
+      synchronized (RelayLoadTable.this) {
+        RelayTarget target = query.targets().get(index);
+        Entry entry = group.entries[index];
+        TargetWork remote = hasRemoteReport ? entry.remote : NO_LOAD;
+        Instant now = query.now();
+        return new Load(
+            entry.inFlight + remote.requests(),
+            entry.footprint + remote.tokens(),
+            entry.backlogMillis + remote.backlogMillis(),
+            hasRemoteReport,
+            cachedTokens(index),
+            availability.exclusion(target, entry.inFlight, now),
+            entry.health.exclusion(now),
+            entry.health.probeFrom(),
+            entry.inFlight == 0,
+            isAnyLimited ? limitExclusion(target, now) : Optional.empty());
+      }
+    }
   }
 
   private Optional<Exclusion> limitExclusion(RelayTarget target, Instant now) {
@@ -165,6 +259,7 @@
       entry(load.target()).remote = load;
     }
     remoteLoadExpiresAt = now.plus(REMOTE_LOAD_VALIDITY);
+    changes++;
   }
 
   /**
@@ -183,7 +278,8 @@
     entry.backlogMillis += sent.backlogMillis;
     if (resolved.isGeneration()) {
       long capacity = resolved.service().engine().orElseThrow().cacheTokens();
-      entry.parts.add(resolved.cacheScope(target), resolved.request().prompt(), capacity);
+      List<PromptPart> prompt = resolved.request().prompt();
+      entry.parts.add(CachedParts.keys(resolved.cacheScope(target), prompt), prompt, capacity);
     }
     return sent;
   }
@@ -197,6 +293,7 @@
   /** Records the end of a request that {@link #recordSent} counted. */
   public synchronized void recordEnded(InFlightRequest sent) {
     Entry entry = entry(sent.target);
+    ends++;
     entry.inFlight--;
     entry.footprint -= sent.footprint;
     entry.backlogMillis -= sent.backlogMillis;
@@ -204,7 +301,9 @@
   }
 
   public synchronized void recordSuccess(String target) {
-    entry(target).health.recordSuccess();
+    if (entry(target).health.recordSuccess()) {
+      changes++;
+    }
   }
 
   public synchronized void recordFailure(String target, Instant now) {
@@ -233,6 +332,16 @@
     return availability.isClosed(target, now);
   }
 
+  /** Returns the number of reports of remote load, and of recoveries of ejected targets. */
+  public synchronized long changes() {
+    return changes;
+  }
+
+  /** Returns the number of requests that ended. */
+  public synchronized long ends() {
+    return ends;
+  }
+
   /** Returns the time at which the reports of the other instances are too old to be counted. */
   synchronized Instant remoteLoadExpiresAt() {
     return remoteLoadExpiresAt;
@@ -253,9 +362,15 @@
   public synchronized void retainTargets(Set<String> targets, Instant now) {
     availability.retainTargets(targets, now);
     permits.retainTargets(targets, now);
-    entries
-        .entrySet()
-        .removeIf(entry -> entry.getValue().inFlight == 0 && !targets.contains(entry.getKey()));
+    groups.clear();
+    Iterator<Map.Entry<String, Entry>> all = entries.entrySet().iterator();
+    while (all.hasNext()) {
+      Map.Entry<String, Entry> next = all.next();
+      if (next.getValue().inFlight == 0 && !targets.contains(next.getKey())) {
+        next.getValue().parts.clear();
+        all.remove();
+      }
+    }
   }
 
   private Entry entry(String target) {
@@ -263,7 +378,7 @@
     if (known != null) {
       return known;
     }
-    Entry created = new Entry();
+    Entry created = new Entry(partIndex);
     entries.put(target, created);
     return created;
   }
@@ -285,10 +400,14 @@
   private static final class Entry {
 
     private final TargetHealth health = new TargetHealth();
-    private final CachedParts parts = new CachedParts();
+    private final CachedParts parts;
     private TargetWork remote = NO_LOAD;
     private int inFlight;
     private long footprint;
     private long backlogMillis;
+
+    private Entry(PartIndex index) {
+      parts = new CachedParts(index);
+    }
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayPlacement.java
@@ -2,12 +2,10 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.geraniumwharf.internal.routing.RendezvousHash;
 import org.geraniumwharf.limit.TargetPermits;
 
 /**
@@ -23,12 +21,6 @@
  */
 public final class RelayPlacement {
 
-  /** Fewest targets that a request compares, besides those that have its context cached. */
-  private static final int MIN_COMPARED_TARGETS = 3;
-
-  /** Number of targets compared, relative to the mean number of targets per instance. */
-  private static final int COMPARED_TARGETS_FACTOR = 2;
-
   private final PlacementRules rules;
   private final TargetExclusion[] exclusions;
   private final EstimateTerm[] terms;
@@ -85,35 +77,53 @@
   public record Explanation(
       RelayTarget target, List<Exclusion> exclusions, Map<String, Double> termMillis) {}
 
-  /** A target that is excluded at most by its ejection and for want of a permit. */
-  private record Candidate(
-      RelayTarget target, RelayLoadTable.Load load, boolean isEjected, boolean hasPermit) {}
-
   /**
-   * Candidates for a request.
+   * Result of a decision.
    *
-   * @param isAlternativeBusy whether a target that is available and not ejected is no candidate
+   * @param choice the cheapest target that no rule excludes; empty if there is none
+   * @param isBusy whether a target is kept from the request by its load only, so that it may accept
+   *     the request at any time
+   * @param changesAt without a choice, the time before which none will be found unless the load,
+   *     the view or the permits change
+   * @param overdue targets that were found to be excluded because of their weights
    */
-  private record Candidates(
-      List<Candidate> open,
-      boolean isAnyEjected,
-      boolean isAnyAtLimit,
-      boolean isAlternativeBusy) {}
+  public record Decision(
+      Optional<Choice> choice, boolean isBusy, Instant changesAt, List<RelayTarget> overdue) {}
+
+  /** Returns the choice of a {@linkplain #decide decision}. */
+  public Optional<Choice> choose(PlacementQuery query, RelayLoadTable table) {
+    return decide(query, table).choice();
+  }
 
   /**
-   * Returns the cheapest target that no rule excludes. Records the demand for permits of cheaper
-   * targets. If all targets that are available are ejected, one that may be probed is returned,
-   * since nothing else would tell before the end of its ejection that it has recovered.
+   * Chooses the cheapest target that no rule excludes. Records the demand for permits of cheaper
+   * targets. If all targets that are available are ejected, one that may be probed is chosen, since
+   * nothing else would tell before the end of its ejection that it has recovered.
    */
-  public Optional<Choice> choose(PlacementQuery query, RelayLoadTable table) {
-    Candidates candidates = candidates(query, table);
-    List<Candidate> usable = usable(candidates, query.now());
-    List<Candidate> permitted = candidates.isAnyAtLimit() ? permitted(usable) : usable;
-    Optional<Choice> chosen = cheapest(query, compared(query, permitted));
-    if (permitted.size() < usable.size()) {
-      recordDemand(query, compared(query, usable), chosen, table.permits());
+  public Decision decide(PlacementQuery query, RelayLoadTable table) {
+    CandidateSearch search = new CandidateSearch(query, table.view(query), exclusions);
+    List<CandidateSearch.Candidate> usable = search.usable();
+    List<CandidateSearch.Candidate> compared = search.compared(usable, true);
+    Optional<Choice> chosen = cheapest(query, compared);
+    if (lacksPermit(usable)) {
+      recordDemand(query, search.compared(usable, false), chosen, table.permits());
     }
-    return chosen;
+    Instant expiry = table.remoteLoadExpiresAt();
+    Instant changesAt = search.changesAt();
+    return new Decision(
+        chosen,
+        search.isBusy(),
+        query.now().isBefore(expiry) && expiry.isBefore(changesAt) ? expiry : changesAt,
+        search.overdue());
+  }
+
+  private static boolean lacksPermit(List<CandidateSearch.Candidate> candidates) {
+    for (CandidateSearch.Candidate candidate : candidates) {
+      if (!candidate.hasPermit()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -122,125 +132,20 @@
    * be queued nor rejected and would otherwise be lost.
    */
   public Optional<Choice> chooseIncludingEjected(PlacementQuery query, RelayLoadTable table) {
-    List<Candidate> open = candidates(query, table).open();
-    Optional<Choice> chosen = cheapest(query, permitted(open));
+    CandidateSearch search = new CandidateSearch(query, table.view(query), exclusions);
+    List<CandidateSearch.Candidate> open = search.all();
+    Optional<Choice> chosen = cheapest(query, CandidateSearch.permitted(open));
     recordDemand(query, open, chosen, table.permits());
     return chosen;
   }
 
-  // --------------------------------------------------------------- candidates
-
-  private Candidates candidates(PlacementQuery query, RelayLoadTable table) {
-    List<RelayTarget> targets = query.targets();
-    RelayLoadTable.Load[] loads = table.loads(query);
-    List<Candidate> open = new ArrayList<>(loads.length);
-    boolean isAnyEjected = false;
-    boolean isAnyAtLimit = false;
-    boolean isAlternativeBusy = false;
-    for (int i = 0; i < loads.length; i++) {
-      RelayTarget target = targets.get(i);
-      boolean isEjected = false;
-      boolean hasPermit = true;
-      boolean isBusy = false;
-      boolean isAvailable = true;
-      for (TargetExclusion rule : exclusions) {
-        Optional<Exclusion> found = rule.find(query, target, loads[i]);
-        if (found.isPresent()) {
-          Exclusion.Reason reason = found.get().reason();
-          isEjected |= reason == Exclusion.Reason.EJECTED;
-          hasPermit &= reason != Exclusion.Reason.NO_PERMIT;
-          isBusy |= reason != Exclusion.Reason.EJECTED && reason != Exclusion.Reason.NO_PERMIT;
-          isAvailable = reason.isAvailable();
-          if (!isAvailable) {
-            break;
-          }
-        }
-      }
-      if (isBusy) {
-        isAlternativeBusy |= isAvailable && !isEjected;
-      } else {
-        open.add(new Candidate(target, loads[i], isEjected, hasPermit));
-        isAnyEjected |= isEjected;
-        isAnyAtLimit |= !hasPermit;
-      }
-    }
-    return new Candidates(open, isAnyEjected, isAnyAtLimit, isAlternativeBusy);
-  }
-
-  /** Returns the candidates that are not ejected or, if there is no such target, may be probed. */
-  private static List<Candidate> usable(Candidates candidates, Instant now) {
-    if (!candidates.isAnyEjected()) {
-      return candidates.open();
-    }
-    List<Candidate> healthy = new ArrayList<>();
-    List<Candidate> probed = new ArrayList<>();
-    for (Candidate candidate : candidates.open()) {
-      if (!candidate.isEjected()) {
-        healthy.add(candidate);
-      } else if (candidate.load().mayBeProbed(now)) {
-        probed.add(candidate);
-      }
-    }
-    return healthy.isEmpty() && !candidates.isAlternativeBusy() ? probed : healthy;
-  }
-
-  private static List<Candidate> permitted(List<Candidate> candidates) {
-    List<Candidate> permitted = new ArrayList<>();
-    for (Candidate candidate : candidates) {
-      if (candidate.hasPermit()) {
-        permitted.add(candidate);
-      }
-    }
-    return permitted;
-  }
-
-  /**
-   * Returns the candidates to compare. With fewer instances more of them are compared, since less
-   * of the load is unknown to this instance.
-   */
-  private static List<Candidate> compared(PlacementQuery query, List<Candidate> candidates) {
-    int share = COMPARED_TARGETS_FACTOR * candidates.size() / Math.max(1, query.instances());
-    int most = Math.max(MIN_COMPARED_TARGETS, 1 + share);
-    if (!query.isGeneration() || candidates.size() <= most) {
-      return candidates;
-    }
-    List<Candidate> compared = firstByHash(query.requestKey(), candidates, most);
-    for (Candidate candidate : candidates) {
-      if (candidate.load().cachedTokens() > query.storedTokens()
-          || query.isPreferred(candidate.target())) {
-        compared.add(candidate);
-      }
-    }
-    return compared;
-  }
-
-  /** Returns the candidates with the smallest hashes of target and request. */
-  private static List<Candidate> firstByHash(long key, List<Candidate> candidates, int count) {
-    long[] hashes = new long[count];
-    Candidate[] first = new Candidate[count];
-    int size = 0;
-    for (Candidate candidate : candidates) {
-      long hash = RendezvousHash.weight(candidate.target().hash(), key) >>> 1;
-      if (size == count && hash >= hashes[count - 1]) {
-        continue;
-      }
-      int position = size < count ? size++ : count - 1;
-      for (; position > 0 && hashes[position - 1] > hash; position--) {
-        hashes[position] = hashes[position - 1];
-        first[position] = first[position - 1];
-      }
-      hashes[position] = hash;
-      first[position] = candidate;
-    }
-    return new ArrayList<>(Arrays.asList(first));
-  }
-
   // ---------------------------------------------------------------- estimates
 
-  private Optional<Choice> cheapest(PlacementQuery query, List<Candidate> candidates) {
-    Candidate best = null;
+  private Optional<Choice> cheapest(
+      PlacementQuery query, List<CandidateSearch.Candidate> candidates) {
+    CandidateSearch.Candidate best = null;
     double leastMillis = Double.POSITIVE_INFINITY;
-    for (Candidate candidate : candidates) {
+    for (CandidateSearch.Candidate candidate : candidates) {
       double millis = totalMillis(terms, query, candidate.target(), candidate.load());
       if (best == null || millis < leastMillis) {
         best = candidate;
@@ -250,7 +155,8 @@
     return best == null ? Optional.empty() : Optional.of(choice(query, best, leastMillis));
   }
 
-  private Choice choice(PlacementQuery query, Candidate candidate, double costMillis) {
+  private Choice choice(
+      PlacementQuery query, CandidateSearch.Candidate candidate, double costMillis) {
     RelayLoadTable.Load load = candidate.load();
     double ownMillis = 0;
     for (EstimateTerm term : terms) {
@@ -279,11 +185,11 @@
   /** Records that a request would have gone to the targets without a permit that are cheaper. */
   private void recordDemand(
       PlacementQuery query,
-      List<Candidate> candidates,
+      List<CandidateSearch.Candidate> candidates,
       Optional<Choice> chosen,
       TargetPermits permits) {
     double bound = chosen.map(Choice::costMillis).orElse(Double.POSITIVE_INFINITY);
-    for (Candidate candidate : candidates) {
+    for (CandidateSearch.Candidate candidate : candidates) {
       RelayTarget target = candidate.target();
       if (candidate.hasPermit() || totalMillis(terms, query, target, candidate.load()) >= bound) {
         continue;
@@ -301,17 +207,18 @@
 
   /** Returns, for each target of a request, what excludes it and the terms of its estimate. */
   public List<Explanation> explain(PlacementQuery query, RelayLoadTable table) {
-    RelayLoadTable.Load[] loads = table.loads(query);
-    List<Explanation> explanations = new ArrayList<>(loads.length);
-    for (int i = 0; i < loads.length; i++) {
+    RelayLoadTable.View view = table.view(query);
+    List<Explanation> explanations = new ArrayList<>();
+    for (int i = 0; i < query.targets().size(); i++) {
       RelayTarget target = query.targets().get(i);
+      RelayLoadTable.Load load = view.load(i);
       List<Exclusion> found = new ArrayList<>();
       for (TargetExclusion rule : exclusions) {
-        rule.find(query, target, loads[i]).ifPresent(found::add);
+        rule.find(query, target, load).ifPresent(found::add);
       }
       Map<String, Double> millis = new LinkedHashMap<>();
       for (EstimateTerm term : terms) {
-        millis.put(term.name(), term.millis(query, target, loads[i]));
+        millis.put(term.name(), term.millis(query, target, load));
       }
       explanations.add(new Explanation(target, found, millis));
     }
@@ -320,13 +227,14 @@
 
   /** Returns when the targets of a request that found none are expected to accept it. */
   public Openings openings(PlacementQuery query, RelayLoadTable table) {
-    RelayLoadTable.Load[] loads = table.loads(query);
-    Openings.Builder openings = new Openings.Builder(query, table);
-    for (int i = 0; i < loads.length; i++) {
+    RelayLoadTable.View view = table.view(query);
+    Openings.Builder openings = new Openings.Builder(query, table.permits());
+    for (int i = 0; i < query.targets().size() && !openings.isOpen(); i++) {
       RelayTarget target = query.targets().get(i);
-      openings.startTarget(target, loads[i]);
+      RelayLoadTable.Load load = view.load(i);
+      openings.startTarget(target);
       for (TargetExclusion rule : exclusions) {
-        rule.find(query, target, loads[i]).ifPresent(openings::add);
+        rule.find(query, target, load).ifPresent(openings::add);
       }
       openings.endTarget();
     }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
@@ -118,7 +118,7 @@
    * @param inFlight requests that this instance has at the target
    */
   Optional<Exclusion> exclusion(RelayTarget target, int inFlight, Instant now) {
-    Status status = statuses.get(target.id());
+    Status status = statuses.isEmpty() ? null : statuses.get(target.id());
     if (status == null || status.incarnation() < target.incarnation()) {
       return Optional.empty();
     }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetHealth.java
@@ -26,10 +26,13 @@
   private Instant ejectedUntil = Instant.MIN;
   private Instant probeFrom = Instant.MIN;
 
-  void recordSuccess() {
+  /** Records a success and returns whether it ended an ejection. */
+  boolean recordSuccess() {
+    boolean wasEjected = !ejectedUntil.equals(Instant.MIN);
     consecutiveFailures = 0;
     consecutiveRejections = 0;
     ejectedUntil = Instant.MIN;
+    return wasEjected;
   }
 
   /**
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -97,9 +97,25 @@
 
   private List<Optional<CacheStore>> findHolders(
       ResolvedRequest resolved, List<CacheStore> stores, String scope) {
-    return resolved.request().prompt().stream()
-        .map(part -> findHolder(stores, scope, part))
-        .toList();
+    List<String> names = new ArrayList<>(stores.size());
+    for (CacheStore store : stores) {
+      names.add(store.name());
+    }
+    List<Optional<CacheStore>> holders = new ArrayList<>();
+    for (PromptPart part : resolved.request().prompt()) {
+      Optional<String> holder = stored.findHolder(names, scope, part);
+      holders.add(holder.isEmpty() ? Optional.empty() : find(stores, holder.get()));
+    }
+    return holders;
+  }
+
+  private static Optional<CacheStore> find(List<CacheStore> stores, String name) {
+    for (CacheStore store : stores) {
+      if (store.name().equals(name)) {
+        return Optional.of(store);
+      }
+    }
+    return Optional.empty();
   }
 
   private static Map<CacheStore, Integer> tokensByStore(
@@ -107,7 +123,11 @@
     Map<CacheStore, Integer> tokens = new LinkedHashMap<>();
     for (int i = 0; i < holders.size(); i++) {
       int length = resolved.request().prompt().get(i).tokens();
-      holders.get(i).ifPresent(store -> tokens.merge(store, length, Integer::sum));
+      if (holders.get(i).isPresent()) {
+        CacheStore store = holders.get(i).get();
+        Integer counted = tokens.get(store);
+        tokens.put(store, length + (counted == null ? 0 : counted));
+      }
     }
     return tokens;
   }
@@ -124,6 +144,9 @@
   /** Returns the length of the prompt prefix that is worth fetching from stores, tokens. */
   public int storedTokens(
       ResolvedRequest resolved, List<CacheStore> stores, String scope, EngineRates rates) {
+    if (stores.isEmpty()) {
+      return 0;
+    }
     List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
     Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
     int length = 0;
@@ -140,12 +163,6 @@
     return length;
   }
 
-  private Optional<CacheStore> findHolder(List<CacheStore> stores, String scope, PromptPart part) {
-    List<String> names = stores.stream().map(CacheStore::name).toList();
-    Optional<String> holder = stored.findHolder(names, scope, part);
-    return stores.stream().filter(store -> holder.equals(Optional.of(store.name()))).findFirst();
-  }
-
   private Optional<String> planSave(
       List<CacheStore> stores, String scope, PromptPart part, Instant now) {
     String key = scope + '/' + part.id();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -64,6 +64,10 @@
   private Optional<TargetCall> call = Optional.empty();
   private Optional<SentCall> lastSent = Optional.empty();
   private Optional<RelayQueue.Entry<RelayExchange>> queueEntry = Optional.empty();
+
+  /** The last decision if it found no target; empty if the request has to be decided again. */
+  private Optional<QueuedDecision> lastDecision = Optional.empty();
+
   private Optional<ScheduledFuture<?>> deadlineTimer = Optional.empty();
   private Instant startedAt = Instant.MIN;
   private Optional<Duration> drainingFor = Optional.empty();
@@ -165,8 +169,15 @@
     RelayQueue<RelayExchange> queue = relay.queue(request);
     boolean isDispatchable =
         queueEntry.isPresent() || !queue.mustQueue(request.priority(), request.footprint());
-    Optional<RelayPlacement.Choice> choice =
-        isDispatchable ? relay.choose(request, triedTargets, now) : Optional.empty();
+    long changes = relay.changes();
+    long ends = relay.load().ends();
+    Optional<RelayPlacement.Decision> decision =
+        isDispatchable ? Optional.of(relay.decide(request, triedTargets, now)) : Optional.empty();
+    Optional<RelayPlacement.Choice> choice = decision.flatMap(RelayPlacement.Decision::choice);
+    Optional<RelayPlacement.Decision> withoutTarget =
+        decision.filter(made -> made.choice().isEmpty());
+    lastDecision =
+        withoutTarget.map(made -> new QueuedDecision(now, made.changesAt(), changes, ends));
     if (choice.isEmpty() && isResponseStarted) {
       choice = relay.chooseIncludingEjected(request, triedTargets, now);
     }
@@ -176,7 +187,7 @@
       send(choice.get(), permit.get(), now);
     } else if (queueEntry.isEmpty()) {
       enqueue(queue, now);
-    } else {
+    } else if (withoutTarget.filter(RelayPlacement.Decision::isBusy).isEmpty()) {
       rejectIfTooLate(queueEntry.get(), now);
     }
   }
@@ -240,7 +251,7 @@
         loop.schedule(
             () -> {
               if (!isDone && queueEntry.isPresent()) {
-                dispatch();
+                dispatchIfChanged();
                 scheduleQueueRetry();
               }
             },
@@ -248,6 +259,15 @@
             TimeUnit.MILLISECONDS);
   }
 
+  private void dispatchIfChanged() {
+    Instant now = relay.now();
+    if (lastDecision
+        .filter(last -> !last.mayDiffer(now, relay.changes(), relay.load().ends()))
+        .isEmpty()) {
+      dispatch();
+    }
+  }
+
   private void queueTimedOut() {
     if (!isDone && queueEntry.isPresent()) {
       rejectOverloaded(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.geraniumwharf.error.ServingErrors;
@@ -57,6 +58,10 @@
   private final EventLog log;
   private final InstantSource clock;
   private final AtomicInteger inFlight = new AtomicInteger();
+
+  /** Changes of the view and the permits. */
+  private final AtomicLong news = new AtomicLong();
+
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
   private final RelayTransfers transfers;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
@@ -211,7 +216,11 @@
   void recordLimit(RelayTarget target, RequestLimit limit, Instant statedFrom, String requestId) {
     load.permits()
         .recordResponse(target.id(), target.incarnation(), limit, statedFrom, now())
-        .ifPresent(change -> RelayLimits.logChange(log, change, requestId));
+        .ifPresent(
+            change -> {
+              news.incrementAndGet();
+              RelayLimits.logChange(log, change, requestId);
+            });
   }
 
   /** Takes a permit for a request to a target; empty if the target is at its limit. */
@@ -283,10 +292,23 @@
     return instances > 1 ? instances : ASSUMED_INSTANCES;
   }
 
-  /** Chooses a target that was not tried yet; empty if none has free capacity. */
-  Optional<RelayPlacement.Choice> choose(
-      ResolvedRequest request, Set<String> triedTargets, Instant now) {
-    return placement.choose(query(request, triedTargets, true, now), load);
+  /** Decides on a target that was not tried yet. */
+  RelayPlacement.Decision decide(ResolvedRequest request, Set<String> triedTargets, Instant now) {
+    RelayPlacement.Decision decision =
+        placement.decide(query(request, triedTargets, true, now), load);
+    logOverdue(decision.overdue(), now);
+    return decision;
+  }
+
+  private void logOverdue(List<RelayTarget> targets, Instant now) {
+    for (RelayTarget target : targets) {
+      isOverdue(target, now);
+    }
+  }
+
+  /** Returns the number of changes of the reported load, the view and the permits. */
+  long changes() {
+    return news.get() + load.changes();
   }
 
   /** Chooses a target for a response that has started, including targets that are ejected. */
@@ -298,7 +320,7 @@
   /** Returns when the targets of a request that found none are expected to accept it. */
   Openings openings(ResolvedRequest request, Set<String> triedTargets, Instant now) {
     Openings openings = placement.openings(query(request, triedTargets, false, now), load);
-    openings.overdue().forEach(target -> isOverdue(target, now));
+    logOverdue(openings.overdue(), now);
     return openings;
   }
 
@@ -331,8 +353,9 @@
     wakeQueued(request.service().name());
   }
 
-  /** Wakes the first queued requests of each service. */
+  /** Wakes the first queued requests of each service after a change of the view or the permits. */
   void wakeAllQueued() {
+    news.incrementAndGet();
     queues.keySet().forEach(this::wakeQueued);
   }
 
