Frame events at the caller's connection and flush once a read

Each event of a stream passed the HTTP encoder, which wrote three buffers and copied one, and an idle handler, which added a listener to each of the writes; each was flushed by itself, also when several had arrived in one read. The decoder of events read byte by byte through the checks of a buffer.

The caller's connection now frames the events itself, those of one read of the target in one buffer, and flushes at the end of that read; responses that HTTP allows no body for still pass the encoder. The idle timeout is a handler that sees reads and the ends of responses only, which are what it closes by. The decoder scans an array.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledProcess.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledProcess.java
@@ -12,6 +12,14 @@
 final class ProfiledProcess implements AutoCloseable {
 
   private static final Path DEPLOY_FILE = Path.of("deploy/system.toml");
+  private static final String PLATFORM = "target/platform";
+
+  /** Names the folder of another build in place of the platform's, which needs its own archive. */
+  private static final String BUILD_OPTION = "build=";
+
+  /** Handlers of a pipeline call each other in one stack, which may hold that of another one. */
+  private static final int STACK_DEPTH = 256;
+
   private static final long STOP_SECONDS = 15;
   private static final String SAMPLING =
       "<configuration version=\"2.0\"><event name=\"jdk.ExecutionSample\">"
@@ -48,16 +56,28 @@
     Path settingsFile = folder.resolve(name + ".ini");
     Files.writeString(settingsFile, settings);
     List<String> command = new ArrayList<>(List.of(runCommand(role).split(" ")));
-    command.addAll(command.indexOf("-jar"), extraOptions);
+    for (String option : extraOptions) {
+      if (option.startsWith(BUILD_OPTION)) {
+        String build = option.substring(BUILD_OPTION.length());
+        command.replaceAll(word -> word.replace(PLATFORM, build));
+      } else {
+        command.add(command.indexOf("-jar"), option);
+      }
+    }
     Optional<Path> recording = Optional.empty();
     if (isSampled) {
       Path sampling = folder.resolve("sampling.jfc");
       Files.writeString(sampling, SAMPLING);
       Path file = folder.resolve(name + ".jfr");
       recording = Optional.of(file);
-      command.add(
+      command.addAll(
           command.indexOf("-jar"),
-          "-XX:StartFlightRecording=settings=" + sampling + ",dumponexit=true,filename=" + file);
+          List.of(
+              "-XX:FlightRecorderOptions=stackdepth=" + STACK_DEPTH,
+              "-XX:StartFlightRecording=settings="
+                  + sampling
+                  + ",dumponexit=true,filename="
+                  + file));
     }
     ProcessBuilder builder =
         new ProcessBuilder(command)
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -11,16 +12,20 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.timeout.IdleStateEvent;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -41,17 +46,34 @@
 
   private static final int MAX_PIPELINED_REQUESTS = 8;
 
+  /** Up to eight digits of the size, and a line end behind the size and behind the event. */
+  private static final int CHUNK_FRAME_BYTES = 12;
+
   private final RelayState relay;
   private final TargetConnectionPool targetPool;
   private final AbandonedRequestHandler abandonedRequests;
+  private final IdleTimeoutHandler idleTimeout;
   private final EventLoopLag loopLag;
   private final Supplier<Optional<Instant>> drainingSince;
   private final int maxHeaderBytes;
   private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private Optional<RelayExchange> currentExchange = Optional.empty();
   private ChannelHandlerContext context;
+
+  /** Writes by it do not pass the HTTP codec. */
+  private ChannelHandlerContext codecContext;
+
   private Instant openedAt = Instant.MIN;
   private boolean isKeepAlive;
+  private boolean isHeadRequest;
+
+  /** Whether this connection frames the events of the response, instead of the HTTP codec. */
+  private boolean isFramingEvents;
+
+  /** Framed events that are written at the end of the present read. */
+  private Optional<ByteBuf> framedEvents = Optional.empty();
+
+  private boolean isFlushDeferred;
 
   /**
    * A request that arrives while the last answer is sent gets no answer, so no target may run it.
@@ -65,12 +87,14 @@
       RelayState relay,
       TargetConnectionPool targetPool,
       AbandonedRequestHandler abandonedRequests,
+      IdleTimeoutHandler idleTimeout,
       EventLoopLag loopLag,
       Supplier<Optional<Instant>> drainingSince,
       int maxHeaderBytes) {
     this.relay = relay;
     this.targetPool = targetPool;
     this.abandonedRequests = abandonedRequests;
+    this.idleTimeout = idleTimeout;
     this.loopLag = loopLag;
     this.drainingSince = drainingSince;
     this.maxHeaderBytes = maxHeaderBytes;
@@ -132,6 +156,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext added) {
     context = added;
+    codecContext = added.pipeline().context(HttpServerCodec.class);
     openedAt = relay.now();
   }
 
@@ -150,6 +175,7 @@
 
   private void startExchange(FullHttpRequest request) {
     isKeepAlive = HttpUtil.isKeepAlive(request);
+    isHeadRequest = request.method().equals(HttpMethod.HEAD);
     if (request.decoderResult().isFailure()) {
       rejectUndecodable(request);
       return;
@@ -221,20 +247,65 @@
     response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setConnectionHeader(response);
+    // The codec knows which other responses have no body.
+    isFramingEvents = status.equals(HttpResponseStatus.OK) && !isHeadRequest;
     var unused = context.write(response);
   }
 
-  void write(ByteBuf bytes) {
-    var unused = context.writeAndFlush(new DefaultHttpContent(bytes));
+  /**
+   * Writes an event of a streamed response, which is sent at the end of the present read of the
+   * target. Only to be called during such a read.
+   */
+  void write(ByteBuf event) {
+    if (isFramingEvents) {
+      frame(event);
+    } else {
+      var unused = context.write(new DefaultHttpContent(event));
+    }
+    if (!isFlushDeferred) {
+      isFlushDeferred = true;
+      targetPool.flushes().add(this::flushDeferred);
+    }
+  }
+
+  /**
+   * Appends an event as a chunk to those of the same read. The HTTP codec would write three buffers
+   * for it and copy one of them.
+   */
+  private void frame(ByteBuf event) {
+    int size = event.readableBytes() + CHUNK_FRAME_BYTES;
+    ByteBuf framed = framedEvents.orElseGet(() -> context.alloc().directBuffer(size));
+    framedEvents = Optional.of(framed);
+    framed.ensureWritable(size);
+    framed.writeCharSequence(Integer.toHexString(event.readableBytes()), StandardCharsets.US_ASCII);
+    ByteBufUtil.writeShortBE(framed, HttpConstants.CR << 8 | HttpConstants.LF);
+    framed.writeBytes(event);
+    ByteBufUtil.writeShortBE(framed, HttpConstants.CR << 8 | HttpConstants.LF);
+    event.release();
+  }
+
+  private void flushDeferred() {
+    isFlushDeferred = false;
+    writeFramedEvents();
+    context.flush();
+  }
+
+  private void writeFramedEvents() {
+    if (framedEvents.isPresent()) {
+      var unused = codecContext.write(framedEvents.get());
+      framedEvents = Optional.empty();
+    }
   }
 
   void endResponse() {
+    writeFramedEvents();
     writeLastAndContinue(LastHttpContent.EMPTY_LAST_CONTENT);
   }
 
   /** Closes the connection in the middle of a response, so that the caller sees it as truncated. */
   void abort() {
     currentExchange = Optional.empty();
+    flushDeferred();
     var unusedClose = context.close();
   }
 
@@ -251,6 +322,7 @@
     currentExchange = Optional.empty();
     ChannelFuture written = context.writeAndFlush(message);
     lastWrite = Optional.of(written);
+    var unusedListener = written.addListener(ended -> idleTimeout.responseWritten());
     if (!isKeepAlive) {
       closeAfter(written);
     } else if (!pipelinedRequests.isEmpty()) {
@@ -272,6 +344,8 @@
   public void channelInactive(ChannelHandlerContext ignored) {
     currentExchange.ifPresent(RelayExchange::callerDisconnected);
     currentExchange = Optional.empty();
+    framedEvents.ifPresent(ByteBuf::release);
+    framedEvents = Optional.empty();
     pipelinedRequests.forEach(FullHttpRequest::release);
     pipelinedRequests.clear();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStreamDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/EventStreamDecoder.java
@@ -19,8 +19,14 @@
   private static final byte CARRIAGE_RETURN = '\r';
   private static final byte[] ID_FIELD = {'i', 'd', ':'};
 
-  private final ByteBuf buffer = Unpooled.buffer();
-  private int scannedBytes;
+  private static final int MIN_CAPACITY = 256;
+
+  /** An array, since the bytes are scanned one by one. */
+  private byte[] buffer = {};
+
+  private int start;
+  private int end;
+  private int scannedEnd;
   private boolean isLineEmpty;
 
   /**
@@ -33,22 +39,36 @@
 
   /** Appends bytes and returns the events that are now complete. */
   List<StreamEvent> decode(ByteBuf bytes) {
-    buffer.writeBytes(bytes);
-    List<StreamEvent> events = new ArrayList<>();
-    int end = findEventEnd();
-    while (end >= 0) {
-      byte[] event = new byte[end - buffer.readerIndex()];
-      buffer.readBytes(event);
+    append(bytes);
+    List<StreamEvent> events = new ArrayList<>(1);
+    int eventEnd = findEventEnd();
+    while (eventEnd >= 0) {
+      byte[] event = Arrays.copyOfRange(buffer, start, eventEnd);
+      start = eventEnd;
       events.add(new StreamEvent(parseId(event), Unpooled.wrappedBuffer(event)));
-      end = findEventEnd();
+      eventEnd = findEventEnd();
     }
-    buffer.discardReadBytes();
     return events;
   }
 
+  private void append(ByteBuf bytes) {
+    if (start > 0) {
+      System.arraycopy(buffer, start, buffer, 0, end - start);
+      end -= start;
+      scannedEnd -= start;
+      start = 0;
+    }
+    int count = bytes.readableBytes();
+    if (end + count > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(MIN_CAPACITY, Math.max(end + count, 2 * end)));
+    }
+    bytes.readBytes(buffer, end, count);
+    end += count;
+  }
+
   /** Returns the size of the incomplete event that is buffered; 0 if there is none. */
   int partialEventBytes() {
-    return buffer.readableBytes();
+    return end - start;
   }
 
   /**
@@ -56,16 +76,16 @@
    * byte is scanned once.
    */
   private int findEventEnd() {
-    for (int i = buffer.readerIndex() + scannedBytes; i < buffer.writerIndex(); i++) {
-      byte next = buffer.getByte(i);
+    for (int i = scannedEnd; i < end; i++) {
+      byte next = buffer[i];
       if (next == NEWLINE && isLineEmpty) {
-        scannedBytes = 0;
+        scannedEnd = i + 1;
         isLineEmpty = false;
-        return i + 1;
+        return scannedEnd;
       }
       isLineEmpty = next == NEWLINE || (next == CARRIAGE_RETURN && isLineEmpty);
     }
-    scannedBytes = buffer.readableBytes();
+    scannedEnd = end;
     return -1;
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -14,7 +13,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.internal.http.HttpListener;
 import org.geraniumwharf.schema.objects.RelayLimits;
 
@@ -60,20 +58,22 @@
             loop -> EventLoopLag.start(loop, relay.clock(), LagReporter.create(relay)));
     AbandonedRequestHandler abandonedRequests =
         new AbandonedRequestHandler(requestStarter(channel), loopLag, relay.metrics(), relay.log());
+    IdleTimeoutHandler idleTimeout =
+        new IdleTimeoutHandler(Duration.ofMillis(limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS));
     CallerConnection connection =
         new CallerConnection(
             relay,
             targetPool(channel),
             abandonedRequests,
+            idleTimeout,
             loopLag,
             () -> drainingSince,
             limits.maxHeaderBytes());
     HeadTimeoutHandler headTimeout =
         new HeadTimeoutHandler(Duration.ofMillis(limits.headerTimeoutMillis()), relay.log());
-    long idleMillis = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
     channel
         .pipeline()
-        .addLast(new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS))
+        .addLast(idleTimeout)
         .addLast(headTimeout)
         .addLast(
             new HttpServerCodec(MAX_INITIAL_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES))
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -52,6 +52,7 @@
   private final TargetResponseDecoder decoder;
   private final RelayProtocol protocol;
   private final UnexpectedBytesListener unexpectedBytes;
+  private final DeferredFlushes flushes;
   private final InstantSource clock;
   private final Instant openedAt;
   private final RequestIdHistory history = RequestIdHistory.create();
@@ -99,11 +100,13 @@
       TargetResponseDecoder decoder,
       RelayProtocol protocol,
       UnexpectedBytesListener unexpectedBytes,
+      DeferredFlushes flushes,
       InstantSource clock) {
     this.channel = channel;
     this.decoder = decoder;
     this.protocol = protocol;
     this.unexpectedBytes = unexpectedBytes;
+    this.flushes = flushes;
     this.clock = clock;
     this.openedAt = clock.instant();
   }
@@ -232,6 +235,11 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    flushes.run();
+  }
+
   private void readObject(HttpObject object) {
     if (object.decoderResult().isFailure()) {
       fail("the target sent bytes that are no answer");
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -47,6 +47,7 @@
   private final UnexpectedBytesListener unexpectedBytes;
   private final ConnectionReuseListener reuse;
   private final InstantSource clock;
+  private final DeferredFlushes flushes = new DeferredFlushes();
   private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
 
   TargetConnectionPool(
@@ -62,6 +63,11 @@
     this.clock = clock;
   }
 
+  /** Returns the flushes that run at the end of the present read of a connection of the pool. */
+  DeferredFlushes flushes() {
+    return flushes;
+  }
+
   /**
    * Reuses an idle connection that has not carried a request, or opens a new one. On failure
    * nothing has been sent.
@@ -174,7 +180,8 @@
               protected void initChannel(TargetSocketChannel channel) {
                 TargetResponseDecoder decoder = new TargetResponseDecoder();
                 TargetConnection connection =
-                    new TargetConnection(channel, decoder, protocol, unexpectedBytes, clock);
+                    new TargetConnection(
+                        channel, decoder, protocol, unexpectedBytes, flushes, clock);
                 channel
                     .pipeline()
                     .addLast(connection.receivedBytesHandler())
