Spare streams, lambdas and copies on the path of a request

A request costs an entry instance three to four milliseconds of processor time, spread over hundreds of methods. With the first compiler tier each lambda that captures a value is made by a call into the virtual machine (4 % of the event loop), streams take another 5 %, and records that are keys of maps hash all their fields.

The classes that run for each request use loops and conditions instead; the names of headers keep their hashes; a head is built once; values of log lines are checked by a loop; reservoirs of the timers take no lock; the status line that a joined head is known by is only searched where a value names the protocol.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
@@ -24,8 +24,8 @@
  * load-tool control --fleet DIR/fleet.env
  * load-tool targets|organisations --fleet DIR/fleet.env --count N
  * load-tool replay
- * load-tool processor [--controls N] [--entries N] [--engines N] [--rate R] [--load S] [--rest S]
- *     [--machine "OPTIONS"] [--compared "OPTIONS"] [--sampled]
+ * load-tool processor [--controls N] [--entries N] [--engines N] [--rate R] [--events N] [--load S]
+ *     [--rest S] [--machine "OPTIONS"] [--compared "OPTIONS"] [--sampled]
  * }</pre>
  */
 public final class LoadTool {
@@ -43,6 +43,7 @@
           .addOption(null, "entries", true, "entry instances")
           .addOption(null, "engines", true, "stand-in engines")
           .addOption(null, "rate", true, "requests a second to each entry instance")
+          .addOption(null, "events", true, "most events of a stream")
           .addOption(null, "load", true, "seconds under load")
           .addOption(null, "rest", true, "seconds without load")
           .addOption(null, "machine", true, "further options of the virtual machines")
@@ -100,6 +101,7 @@
         number(line, "entries", 2),
         number(line, "engines", 98),
         number(line, "rate", 30),
+        number(line, "events", 40),
         number(line, "load", 40),
         number(line, "rest", 20),
         words(line.getOptionValue("machine", "")),
--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/CallerLoad.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/CallerLoad.java
@@ -53,6 +53,7 @@
   private final EventLoopGroup loop = new NioEventLoopGroup(1);
   private final InetSocketAddress entry;
   private final String name;
+  private final int maxEvents;
   private final Deque<Channel> idle = new ArrayDeque<>();
   private int sent;
   private int inFlight;
@@ -69,9 +70,10 @@
    */
   record Outcome(int succeeded, int failed, long events) {}
 
-  CallerLoad(InetSocketAddress entry, String name) {
+  CallerLoad(InetSocketAddress entry, String name, int maxEvents) {
     this.entry = entry;
     this.name = name;
+    this.maxEvents = maxEvents;
   }
 
   /** Sends for some seconds and waits for the last responses. */
@@ -140,7 +142,7 @@
       request
           .headers()
           .set("X-Model", "m")
-          .set("X-Token-Usage", PARTS * PART_TOKENS + "," + kind.events())
+          .set("X-Token-Usage", PARTS * PART_TOKENS + "," + Math.min(maxEvents, kind.events()))
           .set("X-Prefix-Hash", parts(organisation, number % CONTEXTS));
     }
     return request;
--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProcessorProfile.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProcessorProfile.java
@@ -68,7 +68,7 @@
     List<CallerLoad> loads = new ArrayList<>();
     List<CompletableFuture<CallerLoad.Outcome>> running = new ArrayList<>();
     for (int i = 0; i < options.entries(); i++) {
-      CallerLoad load = new CallerLoad(fleet.entryAddresses().get(i), "q" + i);
+      CallerLoad load = new CallerLoad(fleet.entryAddresses().get(i), "q" + i, options.maxEvents());
       loads.add(load);
       running.add(load.run(options.rate(), options.loadSeconds()));
     }
--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfileOptions.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfileOptions.java
@@ -6,6 +6,7 @@
  * What is run.
  *
  * @param rate requests a second to each entry instance
+ * @param maxEvents most events of a stream, which tells the cost of requests from that of events
  * @param loadSeconds time under load, directly after the start
  * @param restSeconds time without load after it
  * @param machineOptions options of the virtual machines behind those of the deploy file
@@ -18,6 +19,7 @@
     int entries,
     int engines,
     int rate,
+    int maxEvents,
     int loadSeconds,
     int restSeconds,
     List<String> machineOptions,
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/logging/Event.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/logging/Event.java
@@ -15,8 +15,11 @@
 
   private static final int MAX_VALUE_LENGTH = 512;
 
+  /** Length of most lines, so that they do not grow piece by piece. */
+  private static final int LINE_CAPACITY = 256;
+
   private final String name;
-  private final StringBuilder line = new StringBuilder();
+  private final StringBuilder line = new StringBuilder(LINE_CAPACITY);
 
   private Event(String name) {
     this.name = name;
@@ -33,6 +36,13 @@
     return this;
   }
 
+  /** Adds a pair with a whole number. The key is not escaped and must be a constant. */
+  public Event with(String key, long value) {
+    appendKey(key);
+    line.append(value);
+    return this;
+  }
+
   public String name() {
     return name;
   }
@@ -42,10 +52,7 @@
   }
 
   private void append(String key, String value) {
-    if (!line.isEmpty()) {
-      line.append(' ');
-    }
-    line.append(key).append('=');
+    appendKey(key);
     if (isPlain(value)) {
       line.append(value);
     } else {
@@ -53,13 +60,27 @@
     }
   }
 
+  private void appendKey(String key) {
+    if (!line.isEmpty()) {
+      line.append(' ');
+    }
+    line.append(key).append('=');
+  }
+
   private static boolean isPlain(String value) {
-    return !value.isEmpty()
-        && value.length() <= MAX_VALUE_LENGTH
-        && value.chars().allMatch(Event::isPlainCharacter);
+    int length = value.length();
+    if (length == 0 || length > MAX_VALUE_LENGTH) {
+      return false;
+    }
+    for (int i = 0; i < length; i++) {
+      if (!isPlainCharacter(value.charAt(i))) {
+        return false;
+      }
+    }
+    return true;
   }
 
-  private static boolean isPlainCharacter(int character) {
+  private static boolean isPlainCharacter(char character) {
     return character > ' '
         && character < 0x7f
         && character != '"'
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
@@ -29,6 +29,10 @@
  */
 public final class RelayTable {
 
+  /** Kept, since the search for a provider takes longer than a digest. */
+  private static final ThreadLocal<MessageDigest> DIGEST =
+      ThreadLocal.withInitial(RelayTable::createDigest);
+
   private final Configuration configuration;
   private final Map<String, List<RelayRoute>> routesByHost = new HashMap<>();
   private final Map<String, RelayService> servicesByName = new HashMap<>();
@@ -76,9 +80,12 @@
    * regard to case.
    */
   public Optional<RelayRoute> route(String host, String path) {
-    return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
-        .filter(route -> path.startsWith(route.pathPrefix()))
-        .findFirst();
+    for (RelayRoute route : routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return Optional.of(route);
+      }
+    }
+    return Optional.empty();
   }
 
   public Optional<RelayService> service(String name) {
@@ -96,9 +103,12 @@
 
   /** Returns the SHA-256 digest of a key in hexadecimal, the form in which keys are published. */
   public static String digestOf(String key) {
+    return HexFormat.of().formatHex(DIGEST.get().digest(key.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  private static MessageDigest createDigest() {
     try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
-      return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+      return MessageDigest.getInstance("SHA-256");
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException("every JDK has SHA-256", e);
     }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/StoredParts.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/StoredParts.java
@@ -50,10 +50,13 @@
   public synchronized Optional<String> findHolder(
       Collection<String> names, String scope, PromptPart part) {
     String key = key(scope, part.id());
-    return names.stream()
-        .filter(stores::containsKey)
-        .filter(name -> stores.get(name).tokensByPart.containsKey(key))
-        .findFirst();
+    for (String name : names) {
+      Store store = stores.get(name);
+      if (store != null && store.tokensByPart.containsKey(key)) {
+        return Optional.of(name);
+      }
+    }
+    return Optional.empty();
   }
 
   /** Returns the total length of the parts that a store reported, tokens. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -74,40 +73,49 @@
       return CacheTransfers.none();
     }
     List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
-    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
-    tokens
-        .entrySet()
-        .removeIf(
-            held ->
-                !isWorthFetching(resolved, held.getKey(), held.getValue(), rates)
-                    && !fetchTimes.tryStore(held.getKey().name(), now));
+    Map<String, Integer> tokens = tokensByStore(resolved, holders);
+    for (CacheStore store : stores) {
+      Integer held = tokens.get(store.name());
+      if (held != null
+          && !isWorthFetching(resolved, store, held, rates)
+          && !fetchTimes.tryStore(store.name(), now)) {
+        tokens.remove(store.name());
+      }
+    }
     List<Optional<String>> fetch = new ArrayList<>();
     List<Optional<String>> save = new ArrayList<>();
     for (PromptPart part : resolved.request().prompt()) {
       Optional<CacheStore> holder = holders.get(fetch.size());
       boolean isShared = fetch.size() < resolved.sharedParts().size();
-      fetch.add(holder.filter(tokens::containsKey).map(CacheStore::address));
+      boolean isFetched = holder.isPresent() && tokens.containsKey(holder.get().name());
+      fetch.add(isFetched ? Optional.of(holder.get().address()) : Optional.empty());
       save.add(
           holder.isEmpty() && isShared ? planSave(stores, scope, part, now) : Optional.empty());
     }
-    Map<String, Integer> fetchedTokens = new HashMap<>();
-    tokens.forEach((store, count) -> fetchedTokens.put(store.name(), count));
-    return new CacheTransfers(fetch, save, fetchedTokens);
+    return new CacheTransfers(fetch, save, tokens);
   }
 
   private List<Optional<CacheStore>> findHolders(
       ResolvedRequest resolved, List<CacheStore> stores, String scope) {
-    return resolved.request().prompt().stream()
-        .map(part -> findHolder(stores, scope, part))
-        .toList();
+    List<String> names = stores.stream().map(CacheStore::name).toList();
+    List<Optional<CacheStore>> holders = new ArrayList<>();
+    for (PromptPart part : resolved.request().prompt()) {
+      Optional<String> name = stored.findHolder(names, scope, part);
+      holders.add(
+          name.isPresent() ? Optional.of(stores.get(names.indexOf(name.get()))) : Optional.empty());
+    }
+    return holders;
   }
 
-  private static Map<CacheStore, Integer> tokensByStore(
+  /** Returns the length of what each store holds, tokens, by its name. */
+  private static Map<String, Integer> tokensByStore(
       ResolvedRequest resolved, List<Optional<CacheStore>> holders) {
-    Map<CacheStore, Integer> tokens = new LinkedHashMap<>();
+    Map<String, Integer> tokens = new HashMap<>();
     for (int i = 0; i < holders.size(); i++) {
-      int length = resolved.request().prompt().get(i).tokens();
-      holders.get(i).ifPresent(store -> tokens.merge(store, length, Integer::sum));
+      if (holders.get(i).isPresent()) {
+        int length = resolved.request().prompt().get(i).tokens();
+        tokens.merge(holders.get(i).get().name(), length, Integer::sum);
+      }
     }
     return tokens;
   }
@@ -125,14 +133,14 @@
   public int storedTokens(
       ResolvedRequest resolved, List<CacheStore> stores, String scope, EngineRates rates) {
     List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
-    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
+    Map<String, Integer> tokens = tokensByStore(resolved, holders);
     int length = 0;
     for (int i = 0; i < holders.size(); i++) {
-      Optional<CacheStore> holder =
-          holders
-              .get(i)
-              .filter(store -> isWorthFetching(resolved, store, tokens.get(store), rates));
-      if (holder.isEmpty()) {
+      if (holders.get(i).isEmpty()) {
+        return length;
+      }
+      CacheStore holder = holders.get(i).get();
+      if (!isWorthFetching(resolved, holder, tokens.get(holder.name()), rates)) {
         return length;
       }
       length += resolved.request().prompt().get(i).tokens();
@@ -140,12 +148,6 @@
     return length;
   }
 
-  private Optional<CacheStore> findHolder(List<CacheStore> stores, String scope, PromptPart part) {
-    List<String> names = stores.stream().map(CacheStore::name).toList();
-    Optional<String> holder = stored.findHolder(names, scope, part);
-    return stores.stream().filter(store -> holder.equals(Optional.of(store.name()))).findFirst();
-  }
-
   private Optional<String> planSave(
       List<CacheStore> stores, String scope, PromptPart part, Instant now) {
     String key = scope + '/' + part.id();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.time.Duration;
@@ -17,10 +18,10 @@
   private final Counter resumptions = registry.counter("resumptions_total");
   private final Counter contextTokens = registry.counter("context_tokens_total");
   private final Counter missingTokens = registry.counter("context_tokens_missing_total");
-  private final Timer firstToken = registry.timer("first_token");
-  private final Timer request = registry.timer("request");
-  private final Timer decision = registry.timer("decision");
-  private final Timer eventLoopLag = registry.timer("event_loop_lag");
+  private final Timer firstToken = registry.timer("first_token", DaemonMetrics::timer);
+  private final Timer request = registry.timer("request", DaemonMetrics::timer);
+  private final Timer decision = registry.timer("decision", DaemonMetrics::timer);
+  private final Timer eventLoopLag = registry.timer("event_loop_lag", DaemonMetrics::timer);
   private final Counter abandonedRequests = registry.counter("abandoned_requests_total");
   private final Counter callersGoneUnsent = registry.counter("callers_gone_total.unsent");
   private final Counter callersGoneSent = registry.counter("callers_gone_total.sent");
@@ -37,6 +38,11 @@
 
   private DaemonMetrics() {}
 
+  /** The default one of the library takes a lock for each value, with the same distribution. */
+  private static Timer timer() {
+    return new Timer(LockFreeExponentiallyDecayingReservoir.builder().build());
+  }
+
   public static DaemonMetrics create() {
     return new DaemonMetrics();
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/AbandonedRequestHandler.java
@@ -31,6 +31,7 @@
   private final DaemonMetrics metrics;
   private final EventLog log;
   private final Deque<Object> pending = new ArrayDeque<>();
+  private Runnable forwarding;
 
   AbandonedRequestHandler(
       RequestStarter starter, EventLoopLag loopLag, DaemonMetrics metrics, EventLog log) {
@@ -47,6 +48,7 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext context) {
+    forwarding = () -> forwardPending(context);
     context.channel().config().setRecvByteBufAllocator(READ_UNTIL_EMPTY);
   }
 
@@ -54,7 +56,7 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     pending.add(message);
     if (pending.size() == 1) {
-      starter.add(() -> forwardPending(context));
+      starter.add(forwarding);
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -52,10 +53,11 @@
   private final RelayState relay;
   private final TargetConnectionPool targetPool;
   private final AbandonedRequestHandler abandonedRequests;
-  private final IdleTimeoutHandler idleTimeout;
   private final EventLoopLag loopLag;
   private final Supplier<Optional<Instant>> drainingSince;
   private final int maxHeaderBytes;
+  private final ChannelFutureListener responseWritten;
+  private final Runnable deferredFlush = this::flushDeferred;
   private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private Optional<RelayExchange> currentExchange = Optional.empty();
   private ChannelHandlerContext context;
@@ -94,7 +96,7 @@
     this.relay = relay;
     this.targetPool = targetPool;
     this.abandonedRequests = abandonedRequests;
-    this.idleTimeout = idleTimeout;
+    this.responseWritten = ended -> idleTimeout.responseWritten();
     this.loopLag = loopLag;
     this.drainingSince = drainingSince;
     this.maxHeaderBytes = maxHeaderBytes;
@@ -209,12 +211,13 @@
   private void writeErrorWithoutRequest(ServingException error) {
     writeFullResponse(
         HttpResponseStatus.valueOf(error.kind().httpStatus()),
-        EmptyHttpHeaders.INSTANCE,
+        new DefaultHttpHeaders(),
         encodeError(error, ""));
   }
 
   // ---------------------------------------------------------------- responses
 
+  /** Writes a whole response and takes ownership of its headers and body. */
   void writeResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
     writeFullResponse(status, headers, body);
   }
@@ -233,17 +236,16 @@
 
   private void writeFullResponse(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
     DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
-    response.headers().add(headers);
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, status, body, headers, EmptyHttpHeaders.INSTANCE);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
     setConnectionHeader(response);
     writeLastAndContinue(response);
   }
 
-  /** Writes the head of a streamed response. */
+  /** Writes the head of a streamed response and takes ownership of its headers. */
   void startResponse(HttpResponseStatus status, HttpHeaders headers) {
-    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
-    response.headers().add(headers);
+    HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers);
     response.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setConnectionHeader(response);
@@ -264,7 +266,7 @@
     }
     if (!isFlushDeferred) {
       isFlushDeferred = true;
-      targetPool.flushes().add(this::flushDeferred);
+      targetPool.flushes().add(deferredFlush);
     }
   }
 
@@ -274,8 +276,10 @@
    */
   private void frame(ByteBuf event) {
     int size = event.readableBytes() + CHUNK_FRAME_BYTES;
-    ByteBuf framed = framedEvents.orElseGet(() -> context.alloc().directBuffer(size));
-    framedEvents = Optional.of(framed);
+    if (framedEvents.isEmpty()) {
+      framedEvents = Optional.of(context.alloc().directBuffer(size));
+    }
+    ByteBuf framed = framedEvents.get();
     framed.ensureWritable(size);
     framed.writeCharSequence(Integer.toHexString(event.readableBytes()), StandardCharsets.US_ASCII);
     ByteBufUtil.writeShortBE(framed, HttpConstants.CR << 8 | HttpConstants.LF);
@@ -287,7 +291,7 @@
   private void flushDeferred() {
     isFlushDeferred = false;
     writeFramedEvents();
-    context.flush();
+    codecContext.flush();
   }
 
   private void writeFramedEvents() {
@@ -322,7 +326,7 @@
     currentExchange = Optional.empty();
     ChannelFuture written = context.writeAndFlush(message);
     lastWrite = Optional.of(written);
-    var unusedListener = written.addListener(ended -> idleTimeout.responseWritten());
+    var unusedListener = written.addListener(responseWritten);
     if (!isKeepAlive) {
       closeAfter(written);
     } else if (!pipelinedRequests.isEmpty()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeLog.java
@@ -168,12 +168,16 @@
 
   /** Returns the newest version that was named of the weights of a request, or 0. */
   private static long namedWeights(RelayState relay, ResolvedRequest resolved) {
-    return resolved
-        .request()
-        .model()
-        .flatMap(relay.admission().routing().view()::namedWeights)
-        .map(NamedWeights::version)
-        .orElse(0L);
+    Optional<String> model = resolved.request().model();
+    return model.isEmpty()
+        ? 0
+        : relay
+            .admission()
+            .routing()
+            .view()
+            .namedWeights(model.get())
+            .map(NamedWeights::version)
+            .orElse(0L);
   }
 
   private static long orNever(Optional<Integer> value) {
@@ -190,7 +194,7 @@
   }
 
   private static long millisFromArrival(RelayRequest request, Optional<Instant> at) {
-    return at.map(time -> millisBetween(request.arrivedAt(), time)).orElse(NEVER);
+    return at.isPresent() ? millisBetween(request.arrivedAt(), at.get()) : NEVER;
   }
 
   private static long millisBetween(Instant from, Instant to) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -110,7 +110,8 @@
 
   private static Optional<Organisation> authenticate(
       RelayTable table, RelayRoute route, RelayRequest request) throws ServingException {
-    Optional<Organisation> organisation = request.key().flatMap(table::organisation);
+    Optional<Organisation> organisation =
+        request.key().isPresent() ? table.organisation(request.key().get()) : Optional.empty();
     if (organisation.isEmpty() && !route.open()) {
       throw ServingErrors.unauthenticated("the key is missing or unknown");
     }
@@ -119,6 +120,9 @@
 
   /** Splits traffic by a hash of the request id, so that the weights need no shared state. */
   private static String chooseService(RelayRoute route, String requestId) {
+    if (route.splits().size() == 1) {
+      return route.splits().get(0).service();
+    }
     long totalWeight = route.splits().stream().mapToLong(RouteSplit::weight).sum();
     double position = RendezvousHash.fraction(RendezvousHash.keyOf(requestId)) * totalWeight;
     long cumulativeWeight = 0;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTransfers.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTransfers.java
@@ -1,8 +1,10 @@
 package org.geraniumwharf.internal.relay;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.EngineRates;
 import org.geraniumwharf.relay.FetchTimes;
@@ -12,6 +14,7 @@
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.TransferPlanner;
 import org.geraniumwharf.schema.objects.CacheStore;
+import org.geraniumwharf.schema.objects.EngineCapacity;
 
 /**
  * Plans the transfers between targets and cache stores, and learns from first tokens how fast
@@ -53,17 +56,20 @@
   /** Returns the rates of the engines of a request's service, which has none if it is plain. */
   EngineRates rates(ResolvedRequest request) {
     double prefill = prefillRate.tokensPerMilli(request.service().name());
-    return request
-        .service()
-        .engine()
-        .map(engine -> EngineRates.of(engine, prefill))
-        .orElseGet(() -> new EngineRates(prefill, prefill));
+    Optional<EngineCapacity> engine = request.service().engine();
+    return engine.isPresent()
+        ? EngineRates.of(engine.get(), prefill)
+        : new EngineRates(prefill, prefill);
   }
 
   private List<CacheStore> availableStores(Instant now) {
-    return admission.routing().stores().stream()
-        .filter(store -> stores.isAvailable(store.name(), now))
-        .toList();
+    List<CacheStore> available = new ArrayList<>();
+    for (CacheStore store : admission.routing().stores()) {
+      if (stores.isAvailable(store.name(), now)) {
+        available.add(store);
+      }
+    }
+    return available;
   }
 
   /** Learns from the first token of a generation, or from its absence until now. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RequestStarter.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RequestStarter.java
@@ -22,6 +22,7 @@
   private final ScheduledExecutorService loop;
   private final InstantSource clock;
   private final Deque<Runnable> starts = new ArrayDeque<>();
+  private final Runnable pass = this::runForOnePass;
   private boolean isScheduled;
 
   RequestStarter(ScheduledExecutorService loop, InstantSource clock) {
@@ -34,7 +35,7 @@
     starts.add(start);
     if (!isScheduled) {
       isScheduled = true;
-      loop.execute(this::runForOnePass);
+      loop.execute(pass);
     }
   }
 
@@ -54,6 +55,6 @@
 
   /** A timer that is due at once runs after the next reads, unlike a task. */
   private void scheduleNextPass() {
-    var unused = loop.schedule(this::runForOnePass, 0, TimeUnit.NANOSECONDS);
+    var unused = loop.schedule(pass, 0, TimeUnit.NANOSECONDS);
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.geraniumwharf.limit.Permit;
+import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -125,7 +126,10 @@
   public void onHead(HttpResponse newHead, TargetResponse response) {
     head = Optional.of(newHead);
     verdict = response.verdict();
-    response.notice().limit().ifPresent(limit -> exchange.limitStated(this, limit, statedFrom()));
+    Optional<RequestLimit> limit = response.notice().limit();
+    if (limit.isPresent()) {
+      exchange.limitStated(this, limit.get(), statedFrom());
+    }
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -273,7 +273,8 @@
     }
     TargetResponse response = protocol.readResponse(head);
     listener.get().onNotice(response.notice());
-    isDiscarding = response.requestId().filter(id -> !id.equals(requestId)).isPresent();
+    isDiscarding =
+        response.requestId().isPresent() && !response.requestId().get().equals(requestId);
     if (isDiscarding) {
       recordUnexpected(decoder.bufferedBytes(), UnexpectedBytesListener.Cause.OTHER_RESPONSE);
       isReusable = false;
@@ -314,7 +315,9 @@
     }
     if (content.content().isReadable()) {
       uselessBytes = 0;
-      listener.ifPresent(active -> active.onContent(content.content()));
+      if (listener.isPresent()) {
+        listener.get().onContent(content.content());
+      }
     }
     if (content instanceof LastHttpContent && isEndSentByTarget()) {
       completeResponse();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -47,8 +47,9 @@
   private final UnexpectedBytesListener unexpectedBytes;
   private final ConnectionReuseListener reuse;
   private final InstantSource clock;
+  private final Bootstrap bootstrap;
   private final DeferredFlushes flushes = new DeferredFlushes();
-  private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
+  private final Map<InetSocketAddress, Deque<TargetConnection>> idle = new HashMap<>();
 
   TargetConnectionPool(
       EventLoop loop,
@@ -61,6 +62,7 @@
     this.unexpectedBytes = unexpectedBytes;
     this.reuse = reuse;
     this.clock = clock;
+    this.bootstrap = createBootstrap();
   }
 
   /** Returns the flushes that run at the end of the present read of a connection of the pool. */
@@ -93,8 +95,11 @@
    */
   private Optional<TargetConnection> takeIdle(
       InetSocketAddress address, String requestId, Instant now) {
-    Iterator<TargetConnection> newestFirst =
-        idle.getOrDefault(address.toString(), new ArrayDeque<>()).iterator();
+    Deque<TargetConnection> found = idle.get(address);
+    if (found == null) {
+      return Optional.empty();
+    }
+    Iterator<TargetConnection> newestFirst = found.iterator();
     while (newestFirst.hasNext()) {
       TargetConnection connection = newestFirst.next();
       if (connection.isPoolable() && connection.mayHaveCarried(requestId)) {
@@ -138,7 +143,7 @@
   /** Opens a new connection. On failure nothing has been sent. */
   void open(
       InetSocketAddress address, Consumer<TargetConnection> opened, Consumer<Throwable> failed) {
-    ChannelFuture connecting = bootstrap().connect(address);
+    ChannelFuture connecting = bootstrap.connect(address);
     connecting.addListener(
         done -> {
           if (done.isSuccess()) {
@@ -159,7 +164,7 @@
     }
   }
 
-  private Bootstrap bootstrap() {
+  private Bootstrap createBootstrap() {
     return new Bootstrap()
         .group(loop)
         .channelFactory(TargetSocketChannel::new)
@@ -199,7 +204,7 @@
       connection.close();
     } else if (connection.isPoolable()) {
       connection.setReading(true);
-      idle.computeIfAbsent(address.toString(), key -> new ArrayDeque<>()).push(connection);
+      idle.computeIfAbsent(address, key -> new ArrayDeque<>()).push(connection);
     }
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -26,6 +26,8 @@
   private static final Pattern STATUS_LINE =
       Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
 
+  private static final String PROTOCOL = "HTTP";
+
   private boolean isHeadRequest;
 
   TargetResponseDecoder() {
@@ -51,18 +53,31 @@
    * that was cut.
    */
   static boolean isJoinedFromTwo(HttpResponse head) {
-    if (!head.protocolVersion().protocolName().equals("HTTP")
-        || STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+    if (!head.protocolVersion().protocolName().equals(PROTOCOL)
+        || hasStatusLine(head.status().reasonPhrase())) {
       return true;
     }
     for (Map.Entry<String, String> header : head.headers()) {
-      if (STATUS_LINE.matcher(header.getValue()).find()) {
+      if (hasStatusLine(header.getValue())) {
         return true;
       }
     }
     return false;
   }
 
+  /** Most values have no slash behind the name of the protocol, and are not matched at all. */
+  private static boolean hasStatusLine(String text) {
+    int slash = text.indexOf('/', PROTOCOL.length());
+    while (slash >= 0) {
+      int start = slash - PROTOCOL.length();
+      if (text.regionMatches(true, start, PROTOCOL, 0, PROTOCOL.length())) {
+        return STATUS_LINE.matcher(text).find();
+      }
+      slash = text.indexOf('/', slash + 1);
+    }
+    return false;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean isInterim =
