--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TransferPlanner.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -74,25 +73,26 @@
       return CacheTransfers.none();
     }
     List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
-    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
-    tokens
-        .entrySet()
-        .removeIf(
-            held ->
-                !isWorthFetching(resolved, held.getKey(), held.getValue(), rates)
-                    && !fetchTimes.tryStore(held.getKey().name(), now));
+    Map<String, Integer> tokens = tokensByStore(resolved, holders);
+    for (CacheStore store : stores) {
+      Integer held = tokens.get(store.name());
+      if (held != null
+          && !isWorthFetching(resolved, store, held, rates)
+          && !fetchTimes.tryStore(store.name(), now)) {
+        tokens.remove(store.name());
+      }
+    }
     List<Optional<String>> fetch = new ArrayList<>();
     List<Optional<String>> save = new ArrayList<>();
     for (PromptPart part : resolved.request().prompt()) {
       Optional<CacheStore> holder = holders.get(fetch.size());
       boolean isShared = fetch.size() < resolved.sharedParts().size();
-      fetch.add(holder.filter(tokens::containsKey).map(CacheStore::address));
+      boolean isFetched = holder.isPresent() && tokens.containsKey(holder.get().name());
+      fetch.add(isFetched ? Optional.of(holder.get().address()) : Optional.empty());
       save.add(
           holder.isEmpty() && isShared ? planSave(stores, scope, part, now) : Optional.empty());
     }
-    Map<String, Integer> fetchedTokens = new HashMap<>();
-    tokens.forEach((store, count) -> fetchedTokens.put(store.name(), count));
-    return new CacheTransfers(fetch, save, fetchedTokens);
+    return new CacheTransfers(fetch, save, tokens);
   }
 
   private List<Optional<CacheStore>> findHolders(
@@ -118,15 +118,14 @@
     return Optional.empty();
   }
 
-  private static Map<CacheStore, Integer> tokensByStore(
+  /** Returns the length of what each store holds, tokens, by its name. */
+  private static Map<String, Integer> tokensByStore(
       ResolvedRequest resolved, List<Optional<CacheStore>> holders) {
-    Map<CacheStore, Integer> tokens = new LinkedHashMap<>();
+    Map<String, Integer> tokens = new HashMap<>();
     for (int i = 0; i < holders.size(); i++) {
-      int length = resolved.request().prompt().get(i).tokens();
       if (holders.get(i).isPresent()) {
-        CacheStore store = holders.get(i).get();
-        Integer counted = tokens.get(store);
-        tokens.put(store, length + (counted == null ? 0 : counted));
+        int length = resolved.request().prompt().get(i).tokens();
+        tokens.merge(holders.get(i).get().name(), length, Integer::sum);
       }
     }
     return tokens;
@@ -148,14 +147,14 @@
       return 0;
     }
     List<Optional<CacheStore>> holders = findHolders(resolved, stores, scope);
-    Map<CacheStore, Integer> tokens = tokensByStore(resolved, holders);
+    Map<String, Integer> tokens = tokensByStore(resolved, holders);
     int length = 0;
     for (int i = 0; i < holders.size(); i++) {
-      Optional<CacheStore> holder =
-          holders
-              .get(i)
-              .filter(store -> isWorthFetching(resolved, store, tokens.get(store), rates));
-      if (holder.isEmpty()) {
+      if (holders.get(i).isEmpty()) {
+        return length;
+      }
+      CacheStore holder = holders.get(i).get();
+      if (!isWorthFetching(resolved, holder, tokens.get(holder.name()), rates)) {
         return length;
       }
       length += resolved.request().prompt().get(i).tokens();
