Keep the measurement of a restart with the platform

The names of the platform belong to its module only; LayeringTest found them in the bench module since the measurement of a restart came there.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
@@ -10,7 +10,6 @@
 import org.geraniumwharf.internal.bench.ControlMeasurements;
 import org.geraniumwharf.internal.bench.Experiments;
 import org.geraniumwharf.internal.bench.ReplayMeasurements;
-import org.geraniumwharf.internal.bench.restart.RestartTimeline;
 
 /**
  * The program behind {@code scripts/bench}.
@@ -21,7 +20,6 @@
  * load-tool control --fleet DIR/fleet.env
  * load-tool targets|organisations --fleet DIR/fleet.env --count N
  * load-tool replay
- * load-tool restart --root DIR --folder DIR --entries N --rate N --down MILLIS --seconds N
  * }</pre>
  */
 public final class LoadTool {
@@ -34,13 +32,7 @@
           .addOption(null, "policy", true, "routing policy that the fleet was started with")
           .addOption(null, "fleet", true, "fleet.env of the fleet")
           .addOption(null, "count", true, "how many targets or organisations")
-          .addOption(null, "results", true, "file of results")
-          .addOption(null, "root", true, "root of the repository")
-          .addOption(null, "folder", true, "folder of logs and data")
-          .addOption(null, "entries", true, "number of entries")
-          .addOption(null, "rate", true, "callers a second")
-          .addOption(null, "down", true, "time for which the processes stay down, ms")
-          .addOption(null, "seconds", true, "time to measure");
+          .addOption(null, "results", true, "file of results");
 
   private LoadTool() {}
 
@@ -81,7 +73,6 @@
       case "organisations" ->
           output.print(ControlMeasurements.ofOrganisations(path(line, "fleet"), count(line)));
       case "replay" -> output.print(ReplayMeasurements.run());
-      case "restart" -> output.print(RestartTimeline.run(restartPlan(line)));
       default -> throw new ParseException("unknown command");
     }
   }
@@ -90,22 +81,8 @@
     return Path.of(required(line, option));
   }
 
-  private static RestartTimeline.Plan restartPlan(CommandLine line) throws ParseException {
-    return new RestartTimeline.Plan(
-        path(line, "root"),
-        path(line, "folder"),
-        number(line, "entries"),
-        number(line, "rate"),
-        number(line, "down"),
-        number(line, "seconds"));
-  }
-
   private static int count(CommandLine line) throws ParseException {
-    return number(line, "count");
-  }
-
-  private static int number(CommandLine line, String option) throws ParseException {
-    return Integer.parseInt(required(line, option));
+    return Integer.parseInt(required(line, "count"));
   }
 
   private static String required(CommandLine line, String option) throws ParseException {
