Hold requests that arrive before the first confirmed view

After a restart of all processes callers were refused a connection until the listeners were wired, then got 503 until the first confirmed view; each used up its retry.

HoldPolicy decides: a request whose caller would give up before the view is expected, or for which there is no room, is refused at once with the time until then; a held one shortly before its caller gives up. Requests of callers that left are dropped. Nothing runs and the readiness check stays negative until the view is confirmed.

Without a view an entry watches a second control instance after 150 ms instead of 900, and one that refused the connection again after 100 ms instead of 500. Heartbeats are 150 ms apart in the first four seconds, so that the contents of cache stores are known again early.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -25,6 +25,12 @@
   /** Time between heartbeats while relayed work is under way, which the others place by. */
   private static final Duration WORKING_INTERVAL = Duration.ofMillis(150);
 
+  /**
+   * Time after the start in which heartbeats follow each other as quickly: their answers bring the
+   * contents of the cache stores, which control instances read again after a restart of all.
+   */
+  private static final Duration STARTING = Duration.ofSeconds(4);
+
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
   private final DaemonStatus identity;
@@ -83,9 +89,11 @@
 
   @Override
   public void run() {
+    Instant startedUntil = clock.instant().plus(STARTING);
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        Duration interval = sendOne() ? WORKING_INTERVAL : INTERVAL;
+        boolean isFrequent = sendOne() || clock.instant().isBefore(startedUntil);
+        Duration interval = isFrequent ? WORKING_INTERVAL : INTERVAL;
         boolean isEarly = changes.tryAcquire(interval.toMillis(), TimeUnit.MILLISECONDS);
         if (isEarly) {
           changes.drainPermits();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/Readiness.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/Readiness.java
@@ -14,6 +14,7 @@
   private volatile long requiredIndex = Long.MAX_VALUE;
   private volatile boolean isLeaving;
   private volatile Instant refusesFrom = Instant.MAX;
+  private volatile boolean hasServed;
 
   private Readiness(FleetViewHolder view, ControlReachability reachability, Duration lease) {
     this.view = view;
@@ -75,9 +76,17 @@
     }
   }
 
+  /** Tells whether this daemon has had no confirmed view since its start. */
+  public boolean isAwaitingFirstView(Instant now) {
+    return !hasServed && !isLeaving && now.isBefore(refusesFrom) && !isServing(now);
+  }
+
   private boolean isServing(Instant now) {
-    return view.current().index() >= requiredIndex
-        && (now.isBefore(freshUntil()) || reachability.isQuorumElsewhereImpossible(lease, now));
+    boolean isServing =
+        view.current().index() >= requiredIndex
+            && (now.isBefore(freshUntil()) || reachability.isQuorumElsewhereImpossible(lease, now));
+    hasServed |= isServing;
+    return isServing;
   }
 
   private Instant freshUntil() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WatchPlan.java
@@ -28,12 +28,24 @@
 
   static final Duration STAGGER = Duration.ofMillis(150);
 
-  /** Instead of {@link #STAGGER} without a view, since each watch then begins with a whole one. */
+  /**
+   * Instead of {@link #STAGGER} without a view, beyond the first {@link #EARLY_WATCHES}, since each
+   * watch then begins with a whole one.
+   */
   static final Duration STAGGER_WITHOUT_VIEW = NEWS_TIMEOUT;
 
+  /**
+   * Instances that are watched early without a view: after a restart of all the first one may be
+   * the last that is ready.
+   */
+  static final int EARLY_WATCHES = 2;
+
   /** Time before an instance is watched again whose watch ended by itself. */
   static final Duration RETRY_PAUSE = Duration.ofMillis(500);
 
+  /** The same without a view, when an instance that refuses connections is about to start. */
+  static final Duration RETRY_PAUSE_WITHOUT_VIEW = Duration.ofMillis(100);
+
   /**
    * Time after which the preferred instance is tried again beside another one that has news. After
    * a loss of all instances the first that has news is kept by every daemon.
@@ -70,10 +82,12 @@
     if (isReturnDue(known, now)) {
       return Optional.of(watch(known.get(0), now));
     }
-    if (!isDue(hasView ? STAGGER : STAGGER_WITHOUT_VIEW, now)) {
+    if (!isDue(hasView, now)) {
       return Optional.empty();
     }
-    Optional<String> next = order.stream().filter(name -> isCandidate(name, now)).findFirst();
+    Duration pause = hasView ? RETRY_PAUSE : RETRY_PAUSE_WITHOUT_VIEW;
+    Optional<String> next =
+        order.stream().filter(name -> isCandidate(name, pause, now)).findFirst();
     return next.map(name -> watch(name, now));
   }
 
@@ -96,17 +110,20 @@
     known.stream().filter(name -> !order.contains(name)).forEach(order::add);
   }
 
-  private boolean isDue(Duration stagger, Instant now) {
+  private boolean isDue(boolean hasView, Instant now) {
     if (watchedSince.isEmpty()) {
       return true;
     }
+    if (!hasView && watchedSince.size() < EARLY_WATCHES) {
+      return !now.isBefore(lastStart.plus(STAGGER));
+    }
+    Duration stagger = hasView ? STAGGER : STAGGER_WITHOUT_VIEW;
     return !isNews(newsAt, now) && !now.isBefore(lastStart.plus(stagger));
   }
 
-  private boolean isCandidate(String name, Instant now) {
+  private boolean isCandidate(String name, Duration pause, Instant now) {
     Instant ended = endedAt.get(name);
-    return !watchedSince.containsKey(name)
-        && (ended == null || !now.isBefore(ended.plus(RETRY_PAUSE)));
+    return !watchedSince.containsKey(name) && (ended == null || !now.isBefore(ended.plus(pause)));
   }
 
   /** Tells whether a view that was confirmed at a time counts as news. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -22,6 +22,7 @@
   private final Timer decision = registry.timer("decision");
   private final Timer eventLoopLag = registry.timer("event_loop_lag");
   private final Counter abandonedRequests = registry.counter("abandoned_requests_total");
+  private final Counter heldRequests = registry.counter("held_requests_total");
   private final Counter callersGoneUnsent = registry.counter("callers_gone_total.unsent");
   private final Counter callersGoneSent = registry.counter("callers_gone_total.sent");
 
@@ -68,6 +69,11 @@
     abandonedRequests.inc(count);
   }
 
+  /** Records a request that is held until the first confirmed view. */
+  public void requestHeld() {
+    heldRequests.inc();
+  }
+
   /**
    * Records that a caller disconnected while its request was in flight.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -35,6 +36,7 @@
 import org.geraniumwharf.internal.fleet.ViewReports;
 import org.geraniumwharf.internal.fleet.WorkExchange;
 import org.geraniumwharf.internal.http.ApiServer;
+import org.geraniumwharf.internal.http.HttpListener;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
 import org.geraniumwharf.internal.relay.KnownStores;
@@ -51,6 +53,7 @@
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.StoreChangeLog;
 import org.geraniumwharf.schema.messages.DaemonStatus;
@@ -78,6 +81,7 @@
   private static final Duration CONTROL_STOP = Duration.ofSeconds(2);
 
   private final NodeSettings settings;
+  private final Optional<ServerSocketChannel> callerSocket;
   private final NodeEdges edges;
   private final EventLog log;
   private final InstantSource clock;
@@ -102,8 +106,14 @@
   private Optional<ControlInstance> instance = Optional.empty();
   private volatile Optional<Relay> relay = Optional.empty();
 
-  private NodeRuntime(NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
+  private NodeRuntime(
+      NodeSettings settings,
+      Optional<ServerSocketChannel> callerSocket,
+      NodeEdges edges,
+      EventLog log,
+      InstantSource clock) {
     this.settings = settings;
+    this.callerSocket = callerSocket;
     this.edges = edges;
     this.log = log;
     this.clock = clock;
@@ -150,7 +160,22 @@
    */
   public static NodeRuntime create(
       NodeSettings settings, NodeEdges edges, EventLog log, InstantSource clock) {
-    return new NodeRuntime(settings, edges, log, clock);
+    return new NodeRuntime(settings, bindForCallers(settings), edges, log, clock);
+  }
+
+  /**
+   * Opens the port for callers before everything else, which takes longer. Where that fails, the
+   * start opens it in its turn and reports the cause.
+   */
+  private static Optional<ServerSocketChannel> bindForCallers(NodeSettings settings) {
+    if (settings.entry().isEmpty() || settings.heldRequests() == 0) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(HttpListener.bind(ControlDirectory.parseAddress(settings.entry().get())));
+    } catch (IOException e) {
+      return Optional.empty();
+    }
   }
 
   private void sendHeartbeat() {
@@ -194,6 +219,9 @@
    * @throws ControlException if the data folder cannot be used
    */
   public void start() throws IOException, ControlException, InterruptedException {
+    if (settings.isEntry()) {
+      startEntry();
+    }
     PeerService peers =
         PeerService.start(network, ControlDirectory.parseAddress(settings.peer()), log);
     ViewReports.logConfigurations(holder, log);
@@ -201,9 +229,6 @@
       startControl(peers);
     }
     membership.start();
-    if (settings.isEntry()) {
-      startEntry();
-    }
     ViewReports.registerGauges(holder, metrics, clock);
     if (settings.metrics().isPresent()) {
       startApi(settings.metrics().get(), request -> CompletableFuture.completedFuture(metrics()));
@@ -294,7 +319,8 @@
             settings.dataCentre(),
             settings.retryShare(),
             settings.retryReserve(),
-            settings.replacedWeights());
+            settings.replacedWeights(),
+            HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())));
     Relay started =
         Relay.start(
             holder,
@@ -307,6 +333,7 @@
             limiter::entryInstances,
             loops,
             ControlDirectory.parseAddress(settings.entry().orElseThrow()),
+            callerSocket,
             metrics,
             log,
             clock);
@@ -376,10 +403,21 @@
     instance.ifPresent(NodeRuntime::stopControl);
     links.close();
     network.close();
+    closeCallerSocket();
     workers.shutdownNow();
     var unused = loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 
+  private void closeCallerSocket() {
+    try {
+      if (callerSocket.isPresent()) {
+        callerSocket.get().close();
+      }
+    } catch (IOException e) {
+      log.warn(Event.of("caller-socket-not-closed").with("cause", e.getMessage()));
+    }
+  }
+
   private int drain(Relay running, Instant begun) {
     return RelayDrain.drain(running, membership.readiness(), settings.grace(), begun, clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -24,6 +24,7 @@
  * @param retryShare repeats of all instances together, relative to the requests
  * @param retryReserve repeats of all instances together beyond that share
  * @param replacedWeights time after which no request may begin on replaced weights
+ * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -42,6 +43,7 @@
     double retryShare,
     double retryReserve,
     ReplacedWeights.Bounds replacedWeights,
+    int heldRequests,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -55,6 +55,7 @@
             number("relay", "retry-share"),
             number("relay", "retry-reserve"),
             replacedWeights(),
+            heldRequests(),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -103,6 +104,18 @@
     return bounds;
   }
 
+  /** Reads the number of requests that are held; none without it. */
+  private int heldRequests() {
+    if (optional("relay", "held-requests").isEmpty()) {
+      return 0;
+    }
+    double value = number("relay", "held-requests");
+    if (value < 0) {
+      faults.add("[relay] held-requests: must not be negative");
+    }
+    return (int) value;
+  }
+
   private Optional<String> optional(String section, String key) {
     String value = ini.value(section, key);
     return value.isEmpty() ? Optional.empty() : Optional.of(value);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -43,6 +43,7 @@
 
   private final RelayState relay;
   private final TargetConnectionPool targetPool;
+  private final HeldRequests heldRequests;
   private final AbandonedRequestHandler abandonedRequests;
   private final EventLoopLag loopLag;
   private final Supplier<Optional<Instant>> drainingSince;
@@ -64,12 +65,14 @@
   CallerConnection(
       RelayState relay,
       TargetConnectionPool targetPool,
+      HeldRequests heldRequests,
       AbandonedRequestHandler abandonedRequests,
       EventLoopLag loopLag,
       Supplier<Optional<Instant>> drainingSince,
       int maxHeaderBytes) {
     this.relay = relay;
     this.targetPool = targetPool;
+    this.heldRequests = heldRequests;
     this.abandonedRequests = abandonedRequests;
     this.loopLag = loopLag;
     this.drainingSince = drainingSince;
@@ -80,6 +83,10 @@
     return targetPool;
   }
 
+  HeldRequests heldRequests() {
+    return heldRequests;
+  }
+
   /** Returns false from the moment at which the close of the caller was read. */
   boolean isConnected() {
     return context.channel().isActive();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -2,13 +2,16 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.weights.ReplacedWeights;
 
@@ -30,9 +33,21 @@
    * @param retryShare retries that all instances together may send, as a fraction of the requests
    * @param retryReserve retries that all instances together may send beyond that share
    * @param weights time after which no request may begin on replaced weights
+   * @param hold which requests are held before the first confirmed view
    */
   public record Rules(
-      String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {}
+      String dataCentre,
+      double retryShare,
+      double retryReserve,
+      ReplacedWeights.Bounds weights,
+      HoldPolicy hold) {
+
+    /** Rules that hold no request before the first confirmed view. */
+    public Rules(
+        String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
+      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none());
+    }
+  }
 
   /**
    * Starts to accept connections of callers.
@@ -41,6 +56,7 @@
    * @param load load of the targets, which the instances report to each other
    * @param quarantine prompt parts that are refused
    * @param liveInstances number of live entry instances, including this one
+   * @param bound socket that listens already, if there is one
    * @throws InterruptedException if the thread is interrupted while the listener is opened
    */
   public static Relay start(
@@ -54,6 +70,7 @@
       IntSupplier liveInstances,
       EventLoopGroup loops,
       InetSocketAddress address,
+      Optional<ServerSocketChannel> bound,
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock)
@@ -72,7 +89,7 @@
             log,
             clock);
     RelayServer server = new RelayServer(relay, loops);
-    server.start(address);
+    server.start(address, bound);
     return new Relay(relay, server);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -32,6 +32,11 @@
    */
   private static final Duration LEAVING_RETRY_AFTER = Duration.ofSeconds(1);
 
+  /** Time over which the callers return that were refused before the first confirmed view. */
+  private static final Duration START_SPREAD = Duration.ofMillis(100);
+
+  private static final Duration UNBOUNDED = Duration.ofDays(1);
+
   private final FleetViewHolder holder;
   private final Readiness readiness;
   private final EventLog log;
@@ -90,6 +95,18 @@
     }
   }
 
+  /** Returns whether this process has not had a confirmed view since its start. */
+  boolean isAwaitingFirstView(Instant now) {
+    return readiness.isAwaitingFirstView(now);
+  }
+
+  /** Adds the time after which service is expected, spread a little so as not to come at once. */
+  ServingException withExpectedStart(
+      ServingException notReady, RelayRequest request, Duration expectedWait) {
+    Duration spread = RetryAfter.jitteredDelay(request.id(), START_SPREAD, UNBOUNDED);
+    return notReady.withRetryAfter(expectedWait.plus(spread));
+  }
+
   /**
    * Resolves a request against the configuration of a snapshot.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -119,6 +119,53 @@
     relay.metrics().requestArrived();
     try {
       relay.admission().checkReady(parsedRequest, now);
+    } catch (ServingException e) {
+      holdOrReject(e, now);
+      return;
+    }
+    startChecked(now);
+  }
+
+  /** Holds a request that arrived before the first confirmed view, if the settings allow it. */
+  private void holdOrReject(ServingException notReady, Instant now) {
+    if (!relay.holdPolicy().isEnabled() || !relay.admission().isAwaitingFirstView(now)) {
+      reject(notReady);
+      return;
+    }
+    int bytes = httpRequest.content().readableBytes();
+    caller
+        .heldRequests()
+        .offer(this, bytes, now)
+        .ifPresent(
+            wait -> reject(relay.admission().withExpectedStart(notReady, parsedRequest, wait)));
+  }
+
+  /** Starts a request that was held, now that there is a confirmed view. */
+  void startHeld() {
+    if (isDone) {
+      return;
+    }
+    Instant now = relay.now();
+    sinceViewConfirmed = relay.admission().sinceViewConfirmed(now);
+    try {
+      relay.admission().checkReady(parsedRequest, now);
+    } catch (ServingException e) {
+      reject(e);
+      return;
+    }
+    startChecked(now);
+  }
+
+  /** Refuses a request that was held for as long as its caller can wait. */
+  void refuseHeld(Duration expectedWait) {
+    if (!isDone) {
+      ServingException notReady = ServingErrors.notReady("no view was confirmed in time");
+      reject(relay.admission().withExpectedStart(notReady, parsedRequest, expectedWait));
+    }
+  }
+
+  private void startChecked(Instant now) {
+    try {
       routing = relay.admission().routing();
       request = RelayAdmission.resolve(parsedRequest, routing);
     } catch (ServingException e) {
@@ -662,6 +709,7 @@
 
   private void finish(String outcome, String target, String cause) {
     isDone = true;
+    caller.heldRequests().remove(this);
     leaveQueueIfAdmitted();
     deadlineTimer.ifPresent(timer -> timer.cancel(false));
     call.ifPresent(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
@@ -21,7 +22,7 @@
 /** Accepts connections of callers and builds their pipelines. */
 final class RelayServer {
 
-  private static final int ACCEPT_BACKLOG = 1024;
+  private static final int ACCEPT_BACKLOG = HttpListener.CALLER_BACKLOG;
   private static final int MAX_INITIAL_LINE_BYTES = 8192;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
 
@@ -39,6 +40,7 @@
   private final Map<EventLoop, TargetConnectionPool> targetPools = new ConcurrentHashMap<>();
   private final Map<EventLoop, EventLoopLag> loopLags = new ConcurrentHashMap<>();
   private final Map<EventLoop, RequestStarter> requestStarters = new ConcurrentHashMap<>();
+  private final Map<EventLoop, HeldRequests> heldRequests = new ConcurrentHashMap<>();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile Optional<Instant> drainingSince = Optional.empty();
 
@@ -47,9 +49,18 @@
     this.loops = loops;
   }
 
-  /** Opens the listener. */
-  void start(InetSocketAddress address) throws InterruptedException {
-    HttpListener.open(loops, address, ACCEPT_BACKLOG, this::accept);
+  /**
+   * Opens the listener.
+   *
+   * @param bound socket that listens already, if there is one
+   */
+  void start(InetSocketAddress address, Optional<ServerSocketChannel> bound)
+      throws InterruptedException {
+    if (bound.isPresent()) {
+      HttpListener.open(loops, bound.get(), this::accept);
+    } else {
+      HttpListener.open(loops, address, ACCEPT_BACKLOG, this::accept);
+    }
   }
 
   private void accept(SocketChannel channel) {
@@ -64,6 +75,7 @@
         new CallerConnection(
             relay,
             targetPool(channel),
+            heldRequests(channel),
             abandonedRequests,
             loopLag,
             () -> drainingSince,
@@ -91,6 +103,11 @@
         channel.eventLoop(), loop -> new RequestStarter(loop, relay.clock()));
   }
 
+  private HeldRequests heldRequests(Channel channel) {
+    return heldRequests.computeIfAbsent(
+        channel.eventLoop(), loop -> new HeldRequests(relay, loop, requestStarter(channel)));
+  }
+
   private TargetConnectionPool targetPool(Channel channel) {
     return targetPools.computeIfAbsent(
         channel.eventLoop(),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,6 +24,7 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.FirstTokenEstimate;
+import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -136,6 +137,10 @@
     return protocol;
   }
 
+  HoldPolicy holdPolicy() {
+    return rules.hold();
+  }
+
   RelayLoadTable load() {
     return load;
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/WatchPlanTest.java
@@ -64,6 +64,34 @@
     assertEquals(Optional.of("c-3"), third);
   }
 
+  /** Guards against an entry that waits for an instance which starts later than the others. */
+  @Test
+  void should_ask_a_second_instance_early_without_a_view() {
+    plan.next(NAMES, false, NOW);
+
+    Optional<String> tooEarly = plan.next(NAMES, false, NOW.plusMillis(140));
+    Optional<String> second = plan.next(NAMES, false, NOW.plusMillis(150));
+    Optional<String> third = plan.next(NAMES, false, NOW.plusMillis(800));
+
+    assertEquals(Optional.empty(), tooEarly);
+    assertEquals(Optional.of("c-2"), second);
+    assertEquals(Optional.empty(), third);
+  }
+
+  /** Guards against an entry that does not notice that an instance has started meanwhile. */
+  @Test
+  void should_soon_try_an_instance_again_that_refused_without_a_view() {
+    List<String> one = List.of("c-1");
+    plan.next(one, false, NOW);
+    plan.ended("c-1", NOW);
+
+    Optional<String> tooEarly = plan.next(one, false, NOW.plusMillis(90));
+    Optional<String> again = plan.next(one, false, NOW.plusMillis(100));
+
+    assertEquals(Optional.empty(), tooEarly);
+    assertEquals(Optional.of("c-1"), again);
+  }
+
   @Test
   void should_give_up_all_others_once_one_has_news() {
     plan.next(NAMES, true, NOW);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/DrainWhileAcceptingTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/DrainWhileAcceptingTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
@@ -56,6 +57,7 @@
             () -> 1,
             loops,
             address,
+            Optional.empty(),
             DaemonMetrics.create(),
             log,
             Instant::now);
