--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CallerConnection.java
@@ -52,6 +52,7 @@
 
   private final RelayState relay;
   private final TargetConnectionPool targetPool;
+  private final HeldRequests heldRequests;
   private final AbandonedRequestHandler abandonedRequests;
   private final EventLoopLag loopLag;
   private final Supplier<Optional<Instant>> drainingSince;
@@ -88,6 +89,7 @@
   CallerConnection(
       RelayState relay,
       TargetConnectionPool targetPool,
+      HeldRequests heldRequests,
       AbandonedRequestHandler abandonedRequests,
       IdleTimeoutHandler idleTimeout,
       EventLoopLag loopLag,
@@ -95,6 +97,7 @@
       int maxHeaderBytes) {
     this.relay = relay;
     this.targetPool = targetPool;
+    this.heldRequests = heldRequests;
     this.abandonedRequests = abandonedRequests;
     this.responseWritten = ended -> idleTimeout.responseWritten();
     this.loopLag = loopLag;
@@ -106,6 +109,10 @@
     return targetPool;
   }
 
+  HeldRequests heldRequests() {
+    return heldRequests;
+  }
+
   /** Returns false from the moment at which the close of the caller was read. */
   boolean isConnected() {
     return context.channel().isActive();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeEnd.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeEnd.java
@@ -46,6 +46,11 @@
     sinceViewConfirmed = relay().admission().sinceViewConfirmed(now);
   }
 
+  /** Records that a request that was held starts now. */
+  void startedAgain(Instant now) {
+    sinceViewConfirmed = relay().admission().sinceViewConfirmed(now);
+  }
+
   /** Records the snapshot by which the request is admitted. */
   void decidedBy(RoutingSnapshot snapshot) {
     routing = Optional.of(snapshot);
@@ -186,6 +191,7 @@
   /** Ends the exchange, except for the response to the caller. */
   void finish(String outcome, String target, String cause) {
     isDone = true;
+    exchange.caller().heldRequests().remove(exchange);
     if (exchange.admitted().isPresent()) {
       exchange.waiting().leaveQueue();
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -25,6 +25,7 @@
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
 import org.geraniumwharf.relay.FirstTokenEstimate;
+import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.PlacementQuery;
 import org.geraniumwharf.relay.RelayLoadTable;
@@ -143,6 +144,10 @@
     return protocol;
   }
 
+  HoldPolicy holdPolicy() {
+    return rules.hold();
+  }
+
   RelayLoadTable load() {
     return load;
   }
