Take a body without a length for whole only if no reset follows its end

Callers got a part of a response as a complete one: a target answered a long upload at once with 200 without a length, sent a part and closed with the rest of the upload unread. Its end and its reset follow one another, and the end alone was taken for the proof; no read tells a reset behind an end.

After the end of the target's output such a response now counts only if the request was written completely and the socket shows no reset. A failed write no longer closes the connection at once, so that a complete response with a length or chunks that came before is served.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -19,6 +19,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.geraniumwharf.relay.TargetNotice;
@@ -48,6 +49,8 @@
 
   private static final int MAX_INTERIM_RESPONSES = 8;
 
+  private static final int END_CHECK_INTERVAL_MILLIS = 10;
+
   private final TargetSocketChannel channel;
   private final TargetResponseDecoder decoder;
   private final RelayProtocol protocol;
@@ -58,13 +61,17 @@
   private Optional<ResponseListener> listener = Optional.empty();
   private String requestId = "";
   private ChannelFuture requestWrite;
+  private int requestBytes;
+  private Optional<Instant> writtenAt = Optional.empty();
   private Duration idleTimeout = DEFAULT_IDLE_TIMEOUT;
   private Instant idleExpiresAt = Instant.MIN;
   private boolean isReusable = true;
   private boolean isDiscarding;
   private boolean isHeadReceived;
   private boolean isBodyDelimited;
+  private boolean isWrittenAtHead;
   private boolean isReset;
+  private Optional<UnframedEnd> end = Optional.empty();
   private int uselessBytes;
   private int interimResponses;
   private int completedResponses;
@@ -182,7 +189,22 @@
     uselessBytes = 0;
     interimResponses = 0;
     decoder.requestSent(request.method());
+    requestBytes = request.content().readableBytes();
+    writtenAt = Optional.empty();
     requestWrite = channel.writeAndFlush(request);
+    requestWrite.addListener(done -> requestWritten(done.isSuccess()));
+  }
+
+  /**
+   * After a failed write the channel stays open for what the target has sent before: a response
+   * that names its own end may be there.
+   */
+  private void requestWritten(boolean isSuccess) {
+    if (isSuccess) {
+      writtenAt = Optional.of(clock.instant());
+    } else {
+      isReusable = false;
+    }
   }
 
   /**
@@ -281,18 +303,15 @@
     }
     isHeadReceived = true;
     uselessBytes = 0;
-    isBodyDelimited = isBodyDelimited(head);
-    if (!HttpUtil.isKeepAlive(head) || !isBodyDelimited) {
+    isBodyDelimited = decoder.isBodyDelimited(head);
+    isWrittenAtHead = writtenAt.isPresent();
+    if (!HttpUtil.isKeepAlive(head) || !TargetResponseDecoder.isLengthStated(head)) {
       isReusable = false;
     }
     idleTimeout = idleTimeout(head);
     listener.get().onHead(head, response);
   }
 
-  private static boolean isBodyDelimited(HttpResponse head) {
-    return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
-  }
-
   private static Duration idleTimeout(HttpResponse head) {
     String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
     Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher(value == null ? "" : value);
@@ -312,19 +331,36 @@
       uselessBytes = 0;
       listener.ifPresent(active -> active.onContent(content.content()));
     }
-    if (content instanceof LastHttpContent && isEndSentByTarget()) {
-      completeResponse();
+    if (content instanceof LastHttpContent) {
+      if (isBodyDelimited) {
+        completeResponse();
+      } else if (channel.isActive()) {
+        // The HTTP codec also ends the body when the connection is closed on this side.
+        end = Optional.of(UnframedEnd.of(clock.instant(), requestBytes, isWrittenAtHead));
+        // After the other reads of this pass, in which a reset behind a small request arrives.
+        channel.eventLoop().execute(this::checkEnd);
+      }
     }
   }
 
-  /**
-   * Returns whether the end of the body came from the target. The HTTP codec also ends a body
-   * without a length when the connection is closed on this side, for example after a write failed
-   * because the target had reset the connection; the rest of such a body may be lost. When the
-   * target ends its output in order, the connection is still active.
-   */
-  private boolean isEndSentByTarget() {
-    return isBodyDelimited || channel.isActive();
+  /** Waits until it is known whether a body that ended with the target's output is complete. */
+  private void checkEnd() {
+    if (listener.isEmpty() || !channel.isActive()) {
+      return;
+    }
+    boolean isRefusedByTarget = requestWrite.isDone() && writtenAt.isEmpty();
+    boolean isResetByTarget = isRefusedByTarget || (requestBytes > 0 && channel.isReset());
+    switch (end.orElseThrow().decide(isResetByTarget, writtenAt, clock.instant())) {
+      case COMPLETE -> completeResponse();
+      case RESET -> fail("the target reset the connection after the end of its response");
+      case UNSENT -> fail("the target ended its response before it had the request");
+      case UNDECIDED -> {
+        var unused =
+            channel
+                .eventLoop()
+                .schedule(this::checkEnd, END_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    }
   }
 
   private void completeResponse() {
@@ -336,7 +372,7 @@
     if (bytesBehind > 0) {
       recordUnexpected(bytesBehind, UnexpectedBytesListener.Cause.BEHIND_RESPONSE);
     }
-    if (bytesBehind > 0 || !requestWrite.isDone()) {
+    if (bytesBehind > 0 || writtenAt.isEmpty()) {
       isReusable = false;
     }
     idleExpiresAt = clock.instant().plus(idleTimeout);
@@ -362,7 +398,7 @@
   /** Called after the HTTP codec has ended a body that ends with the output of the target. */
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof ChannelInputShutdownEvent) {
+    if (event instanceof ChannelInputShutdownEvent && end.isEmpty()) {
       fail("the target closed the connection");
     }
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnectionPool.java
@@ -159,6 +159,7 @@
         .channelFactory(TargetSocketChannel::new)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .option(ChannelOption.AUTO_CLOSE, false)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(
             ChannelOption.RCVBUF_ALLOCATOR,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
 import java.util.regex.Pattern;
 
@@ -98,6 +99,16 @@
     return character >= '0' && character <= '9';
   }
 
+  /** Returns whether the head states how the body ends. */
+  static boolean isLengthStated(HttpResponse head) {
+    return HttpUtil.isTransferEncodingChunked(head) || HttpUtil.isContentLengthSet(head);
+  }
+
+  /** Returns whether the end of the body does not depend on the end of the connection. */
+  boolean isBodyDelimited(HttpResponse head) {
+    return isLengthStated(head) || isContentAlwaysEmpty(head);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     boolean isInterim =
