--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpCacheClient.java
@@ -37,7 +37,8 @@
         new OkHttpClient.Builder()
             .retryOnConnectionFailure(false)
             .connectTimeout(Duration.ofMillis(250))
-            .addNetworkInterceptor(new JoinedHeadCheck())
+            .socketFactory(new EndCheckingSocketFactory())
+            .addNetworkInterceptor(new ResponseHeadCheck())
             .build());
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/HttpTargetClient.java
@@ -45,7 +45,8 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_TIMEOUT)
-            .addNetworkInterceptor(new JoinedHeadCheck())
+            .socketFactory(new EndCheckingSocketFactory())
+            .addNetworkInterceptor(new ResponseHeadCheck())
             .connectionPool(
                 new ConnectionPool(MAX_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS))
             .build();
@@ -163,9 +164,7 @@
      * as if the target had closed it in order. A body without a length may then have lost its rest.
      */
     void checkEndSentByTarget(Response response) throws IOException {
-      boolean isDelimited =
-          response.body().contentLength() >= 0 || response.header("Transfer-Encoding") != null;
-      if (tracker.isSendingFailed() && !isDelimited) {
+      if (tracker.isSendingFailed() && !ResponseHeadCheck.isBodyDelimited(response)) {
         throw new IOException("the connection failed while the request was written");
       }
     }
