Refuse a body that is filled up with the beginning of a second answer

A target broke off within the body of an answer with a length, kept the connection open and sent a whole second answer behind it.

A body, or an event of a stream, is refused if it holds a status line and the id of the request, and the answer that begins there does not end within the body by its own length or chunks. A body that holds a whole answer stays valid: nothing tells it from a join.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -25,6 +25,9 @@
   /** Largest event of a stream. */
   private static final int MAX_EVENT_BYTES = 64 << 10;
 
+  private static final String JOINED_BODY = "the body of the answer holds another answer";
+  private static final byte[] NOTHING = {};
+
   private final RelayExchange exchange;
   private final RelayTarget target;
   private final RelayLoadTable.InFlightRequest run;
@@ -149,6 +152,10 @@
     }
     if (isEventStream()) {
       for (EventStreamDecoder.StreamEvent event : eventDecoder.decode(bytes)) {
+        if (holdsOtherResponse(event.bytes(), NOTHING)) {
+          rejectResponse(JOINED_BODY);
+          return;
+        }
         eventCount++;
         exchange.eventReceived(this, head.orElseThrow(), event);
       }
@@ -162,6 +169,10 @@
     }
   }
 
+  private boolean holdsOtherResponse(ByteBuf bytes, byte[] behind) {
+    return JoinedBody.holdsOther(bytes, behind, exchange.parsedRequest().id());
+  }
+
   private void rejectResponse(String cause) {
     connection.ifPresent(TargetConnection::cancel);
     onFailure(cause);
@@ -172,6 +183,10 @@
     if (isEnded) {
       return;
     }
+    if (holdsOtherResponse(body, connection.orElseThrow().bytesBehind())) {
+      rejectResponse(JOINED_BODY);
+      return;
+    }
     isEnded = true;
     exchange.releaseConnection(this, connection.orElseThrow());
     if (isEventStream()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -120,6 +120,11 @@
     return completedResponses;
   }
 
+  /** Returns the first bytes that have arrived behind the response. */
+  byte[] bytesBehind() {
+    return decoder.firstBufferedBytes();
+  }
+
   Duration age(Instant now) {
     return Duration.between(openedAt, now);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.relay;
 
+import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -19,7 +20,9 @@
   private static final int MAX_INITIAL_LINE_BYTES = 8192;
   private static final int MAX_HEAD_BYTES = 64 << 10;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
+  private static final int MAX_BUFFERED_HEAD_BYTES = 4096;
   private static final int STATUS_DIGITS = 3;
+  private static final byte[] EMPTY = {};
 
   /**
    * Start of a status line. A response that has one within its own status line or a header is
@@ -48,6 +51,14 @@
     return actualReadableBytes();
   }
 
+  /** Returns the first of the received bytes that are not decoded yet, enough for a head. */
+  byte[] firstBufferedBytes() {
+    int count = Math.min(bufferedBytes(), MAX_BUFFERED_HEAD_BYTES);
+    return count == 0
+        ? EMPTY
+        : ByteBufUtil.getBytes(internalBuffer(), internalBuffer().readerIndex(), count);
+  }
+
   /**
    * Returns whether a head has a second status line within, as after the beginning of a response
    * that was cut.
