--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/time/ConfirmedTime.java
@@ -57,11 +57,7 @@
     }
     ConfirmedTime counted = countedTo(at, expectedSince);
     return new ConfirmedTime(
-        counted.earlierStretches,
-        counted.stretchStart,
-        counted.countedTo,
-        at,
-        counted.total(at));
+        counted.earlierStretches, counted.stretchStart, counted.countedTo, at, counted.total(at));
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlReachability.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlReachability.java
@@ -7,9 +7,9 @@
 import java.util.Set;
 
 /**
- * Which control instances cannot be accepting changes behind this daemon's back: those it hears
- * and whose view is not older than its own, and those whose process is certainly not running
- * because their address refuses connections.
+ * Which control instances cannot be accepting changes behind this daemon's back: those it hears and
+ * whose view is not older than its own, and those whose process is certainly not running because
+ * their address refuses connections.
  */
 final class ControlReachability {
 
