Find a joined head whatever the code of its second status line

The promise not to have run was passed on for a request that had run.

A header or reason that holds "HTTP/1.1" and a space or digit marks a joined head, with any code; in Via, which may name the protocol, a code must follow.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -25,11 +26,15 @@
   private static final byte[] EMPTY = {};
 
   /**
-   * Start of a status line. A response that has one within its own status line or a header is
-   * refused, since it cannot be told from two that were joined.
+   * Start of a status line, whatever its code. A response that has one within its own status line
+   * or a header is refused, since it cannot be told from two that were joined.
    */
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
+      Pattern.compile("HTTP/\\d\\.\\d[ \t\\d]", Pattern.CASE_INSENSITIVE);
+
+  /** The same in a header that may name the protocol before the name of a proxy. */
+  private static final Pattern STATUS_LINE_IN_VIA =
+      Pattern.compile("HTTP/\\d\\.\\d[ \t]*[+-]?\\d{1,4}([ \t]|$)", Pattern.CASE_INSENSITIVE);
 
   private boolean isHeadRequest;
 
@@ -69,7 +74,8 @@
       return true;
     }
     for (Map.Entry<String, String> header : head.headers()) {
-      if (STATUS_LINE.matcher(header.getValue()).find()) {
+      boolean isVia = HttpHeaderNames.VIA.contentEqualsIgnoreCase(header.getKey());
+      if ((isVia ? STATUS_LINE_IN_VIA : STATUS_LINE).matcher(header.getValue()).find()) {
         return true;
       }
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/ResponseHeadCheck.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/target/ResponseHeadCheck.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Set;
 import java.util.regex.Pattern;
+import okhttp3.Headers;
 import okhttp3.Interceptor;
 import okhttp3.RequestBody;
 import okhttp3.Response;
@@ -15,11 +16,15 @@
 final class ResponseHeadCheck implements Interceptor {
 
   /**
-   * Start of a status line. An answer that has one within its own status line or a header is
-   * refused, since it cannot be told from two that were joined.
+   * Start of a status line, whatever its code. An answer that has one within its own status line or
+   * a header is refused, since it cannot be told from two that were joined.
    */
   private static final Pattern STATUS_LINE =
-      Pattern.compile("HTTP/\\d\\.\\d +\\d{3}", Pattern.CASE_INSENSITIVE);
+      Pattern.compile("HTTP/\\d\\.\\d[ \t\\d]", Pattern.CASE_INSENSITIVE);
+
+  /** The same in a header that may name the protocol before the name of a proxy. */
+  private static final Pattern STATUS_LINE_IN_VIA =
+      Pattern.compile("HTTP/\\d\\.\\d[ \t]*[+-]?\\d{1,4}([ \t]|$)", Pattern.CASE_INSENSITIVE);
 
   private static final Set<Integer> WITHOUT_BODY = Set.of(204, 304);
   private static final int FIRST_STATUS = 200;
@@ -34,8 +39,7 @@
   @Override
   public Response intercept(Chain chain) throws IOException {
     Response response = proceed(chain);
-    String head = response.message() + "\n" + response.headers();
-    if (STATUS_LINE.matcher(head).find()) {
+    if (isJoinedFromTwo(response)) {
       throw failure(chain, response, "the head of the answer holds another one");
     }
     if (response.code() < FIRST_STATUS || response.code() > LAST_STATUS) {
@@ -57,6 +61,20 @@
     }
   }
 
+  private static boolean isJoinedFromTwo(Response response) {
+    if (STATUS_LINE.matcher(response.message()).find()) {
+      return true;
+    }
+    Headers headers = response.headers();
+    for (int i = 0; i < headers.size(); i++) {
+      boolean isVia = headers.name(i).equalsIgnoreCase("Via");
+      if ((isVia ? STATUS_LINE_IN_VIA : STATUS_LINE).matcher(headers.value(i)).find()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static IOException failure(Chain chain, Response response, String cause)
       throws IOException {
     chain.connection().socket().close();
