--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -9,6 +9,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.limit.RequestLimit;
 import org.geraniumwharf.relay.RelayRequest;
