Accept connections of callers only when the first view has come

After a restart of all processes, an entry of 0.36 of a core read and held the requests of callers while it connected to control and applied its first view.

The port still listens first, but connections wait in the queue of the system until the first confirmed view, for at most 0.9 s; callers allow a second until their request is read.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/HoldPolicy.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/HoldPolicy.java
@@ -23,6 +23,13 @@
   /** Least time that a target needs for a request, which must be left when the view comes. */
   static final Duration SERVICE_TIME = Duration.ofMillis(100);
 
+  /**
+   * Longest time for which connections wait to be accepted for the first confirmed view. Reading
+   * requests takes processor time from the parts that obtain the view, and most callers allow a
+   * second until their request is read.
+   */
+  static final Duration MAX_ACCEPT_DELAY = Duration.ofMillis(900);
+
   /** Time for which a request is held whose caller does not say how long it waits. */
   static final Duration DEFAULT_HOLD = Duration.ofSeconds(5);
 
@@ -53,6 +60,16 @@
     return maxRequests > 0;
   }
 
+  /**
+   * Returns whether connections of callers may be accepted.
+   *
+   * @param isAwaitingFirstView whether the instance has had no confirmed view since its start
+   * @param boundAt time since which connections may wait
+   */
+  public boolean mayAccept(boolean isAwaitingFirstView, Instant boundAt, Instant now) {
+    return !isEnabled() || !isAwaitingFirstView || !now.isBefore(boundAt.plus(MAX_ACCEPT_DELAY));
+  }
+
   /**
    * What becomes of a request.
    *
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/HoldPolicyTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/HoldPolicyTest.java
@@ -1,6 +1,8 @@
 package org.geraniumwharf.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -50,6 +52,20 @@
         Optional.empty(), HoldPolicy.none().decide(waiting(9000), 0, 0, 1, START).heldUntil());
   }
 
+  /** Guards against callers that take the processor time which the first view needs. */
+  @Test
+  void should_accept_no_connections_until_the_first_view() {
+    assertFalse(POLICY.mayAccept(true, START, START.plusMillis(899)));
+    assertTrue(POLICY.mayAccept(false, START, START.plusMillis(1)));
+  }
+
+  /** Guards against callers that are not even refused while no view comes. */
+  @Test
+  void should_accept_connections_after_a_while_without_a_view() {
+    assertTrue(POLICY.mayAccept(true, START, START.plusMillis(900)));
+    assertTrue(HoldPolicy.none().mayAccept(true, START, START));
+  }
+
   private static RelayRequest waiting(long timeoutMillis) {
     return new RelayRequest(
         "r-1",
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/HttpListener.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/http/HttpListener.java
@@ -1,6 +1,7 @@
 package org.geraniumwharf.internal.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -38,17 +39,15 @@
   }
 
   /**
-   * Accepts the connections of a socket that listens already.
+   * Accepts the connections of a socket that listens already. Does not wait until it does.
    *
    * @param accepted adds the handlers of a connection that was accepted
    */
-  public static void open(
-      EventLoopGroup loops, ServerSocketChannel bound, Consumer<SocketChannel> accepted)
-      throws InterruptedException {
-    bootstrap(loops, accepted)
+  public static ChannelFuture open(
+      EventLoopGroup loops, ServerSocketChannel bound, Consumer<SocketChannel> accepted) {
+    return bootstrap(loops, accepted)
         .channelFactory(() -> new NioServerSocketChannel(bound))
-        .register()
-        .sync();
+        .register();
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
@@ -14,13 +15,19 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import org.geraniumwharf.internal.http.HttpListener;
+import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.schema.objects.RelayLimits;
 
 /** Accepts connections of callers and builds their pipelines. */
 final class RelayServer {
 
   private static final int ACCEPT_BACKLOG = HttpListener.CALLER_BACKLOG;
+
+  /** Time between two looks for the first confirmed view; short against the goals of callers. */
+  private static final long ACCEPT_CHECK_INTERVAL_MILLIS = 10;
+
   private static final int MAX_INITIAL_LINE_BYTES = 8192;
   private static final int MAX_CHUNK_BYTES = 64 << 10;
 
@@ -50,17 +57,47 @@
   /**
    * Opens the listener.
    *
-   * @param bound socket that listens already, if there is one
+   * @param bound socket that listens already, if there is one; its connections are accepted when
+   *     the hold policy says so
    */
   void start(InetSocketAddress address, Optional<ServerSocketChannel> bound)
       throws InterruptedException {
     if (bound.isPresent()) {
-      HttpListener.open(loops, bound.get(), this::accept);
+      EventLoop loop = loops.next();
+      Instant boundAt = relay.now();
+      loop.execute(() -> acceptInTime(loop, bound.get(), boundAt));
     } else {
       HttpListener.open(loops, address, ACCEPT_BACKLOG, this::accept);
     }
   }
 
+  private void acceptInTime(EventLoop loop, ServerSocketChannel bound, Instant boundAt) {
+    Instant now = relay.now();
+    boolean isAwaiting = relay.admission().isAwaitingFirstView(now);
+    if (!relay.holdPolicy().mayAccept(isAwaiting, boundAt, now)) {
+      var unused =
+          loop.schedule(
+              () -> acceptInTime(loop, bound, boundAt),
+              ACCEPT_CHECK_INTERVAL_MILLIS,
+              TimeUnit.MILLISECONDS);
+      return;
+    }
+    HttpListener.open(loops, bound, this::accept)
+        .addListener(opened -> logAccepting(opened, Duration.between(boundAt, now)));
+  }
+
+  private void logAccepting(Future<?> opened, Duration delay) {
+    Event event =
+        Event.of("entry-accepting")
+            .with("delayMillis", delay.toMillis())
+            .with("cause", opened.isSuccess() ? "none" : opened.cause().getMessage());
+    if (opened.isSuccess()) {
+      relay.log().info(event);
+    } else {
+      relay.log().warn(event);
+    }
+  }
+
   private void accept(SocketChannel channel) {
     RelayLimits limits = relay.admission().routing().table().limits().orElse(DEFAULT_LIMITS);
     EventLoopLag loopLag =
