--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.replica;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,6 +29,9 @@
 import org.geraniumwharf.schema.messages.ClaimRunAnswer;
 import org.geraniumwharf.schema.messages.ClaimRunCall;
 import org.geraniumwharf.schema.messages.ControlAnswer;
+import org.geraniumwharf.schema.messages.EvacuateAnswer;
+import org.geraniumwharf.schema.messages.EvacuateCall;
+import org.geraniumwharf.schema.messages.EvacuationOutcome;
 import org.geraniumwharf.schema.messages.ExplainPlacementAnswer;
 import org.geraniumwharf.schema.messages.ExplainPlacementCall;
 import org.geraniumwharf.schema.messages.FinishRunCall;
@@ -49,6 +53,7 @@
 import org.geraniumwharf.schema.messages.SteerRolloutCall;
 import org.geraniumwharf.schema.state.ClaimRunCommand;
 import org.geraniumwharf.schema.state.Command;
+import org.geraniumwharf.schema.state.EvacuateCommand;
 import org.geraniumwharf.schema.state.FinishRunCommand;
 import org.geraniumwharf.schema.state.NameWeightsCommand;
 import org.geraniumwharf.schema.state.NamedWeights;
@@ -67,6 +72,12 @@
   private static final long RESERVED_DISK_BYTES = 16L << 20;
   private static final int MAX_STATUS_PUBLICATIONS = 20;
 
+  /**
+   * Age from which an order to evacuate is not proposed any more. Operators resend an order for 5
+   * s; one that is given up must not take effect later.
+   */
+  private static final Duration MAX_ORDER_AGE = Duration.ofMillis(2500);
+
   private final ControlOptions options;
   private final RaftCore core;
   private final ControlState state;
@@ -128,6 +139,8 @@
       readDocument(answer);
     } else if (call instanceof NameWeightsCall nameWeights) {
       handleNameWeights(nameWeights, answer, now);
+    } else if (call instanceof EvacuateCall evacuate) {
+      handleEvacuate(evacuate, answer, now);
     } else if (call instanceof ExplainPlacementCall explain) {
       answer.complete(explainPlacement(explain.target()));
     } else {
@@ -208,6 +221,34 @@
     proposeUnlessDiskFull(NameWeightsCommand.of(weights), answer);
   }
 
+  /**
+   * Proposes an order to evacuate a data centre, or to end that. An order that was confirmed to be
+   * received at an index above the own one was confirmed by another leader, and one that is too old
+   * was given up.
+   */
+  private void handleEvacuate(
+      EvacuateCall call, CompletableFuture<ControlAnswer> answer, Instant now) {
+    if (call.ageMillis() >= MAX_ORDER_AGE.toMillis()) {
+      answer.complete(PendingCalls.failed("the order is too old", false));
+    } else if (call.receivedIndex() > state.index()) {
+      answer.complete(PendingCalls.failed("this leader has not applied all entries", false));
+    } else if (isKnownDataCentre(call.dataCentre(), now)) {
+      proposeUnlessDiskFull(
+          EvacuateCommand.of(
+              call.dataCentre(), call.active(), call.receivedIndex(), now.toEpochMilli()),
+          answer);
+    } else if (duties.hasHeardAllDaemons(now)) {
+      answer.complete(EvacuateAnswer.of(EvacuationOutcome.UNKNOWN, 0));
+    } else {
+      answer.complete(PendingCalls.failed("this leader has not heard of all instances yet", false));
+    }
+  }
+
+  private boolean isKnownDataCentre(String name, Instant now) {
+    return state.isRecordedDataCentre(name)
+        || duties.liveDaemons(now).stream().anyMatch(daemon -> daemon.dataCentre().equals(name));
+  }
+
   /**
    * Claims a run. If another attempt has already claimed it, the answer needs no log entry; every
    * other outcome does.
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -283,6 +283,11 @@
         .toList();
   }
 
+  /** Returns whether every live daemon has had the time to send this leader a heartbeat. */
+  boolean hasHeardAllDaemons(Instant now) {
+    return !now.isBefore(leaderSince.plus(options.daemonLease()));
+  }
+
   Set<String> liveDaemonNames(Instant now) {
     return liveDaemons(now).stream().map(DaemonStatus::name).collect(Collectors.toSet());
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/state/ControlState.java
@@ -15,12 +15,15 @@
 import org.geraniumwharf.schema.messages.PublishAnswer;
 import org.geraniumwharf.schema.messages.PublishOutcome;
 import org.geraniumwharf.schema.messages.SteerRolloutAnswer;
+import org.geraniumwharf.schema.objects.CacheStore;
 import org.geraniumwharf.schema.objects.PublishedObject;
 import org.geraniumwharf.schema.state.AnnounceCommand;
 import org.geraniumwharf.schema.state.ClaimRunCommand;
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.DoubtRunsCommand;
 import org.geraniumwharf.schema.state.EndOrderCommand;
+import org.geraniumwharf.schema.state.EvacuateCommand;
+import org.geraniumwharf.schema.state.Evacuation;
 import org.geraniumwharf.schema.state.FinishRunCommand;
 import org.geraniumwharf.schema.state.IssueOrderCommand;
 import org.geraniumwharf.schema.state.LapseTargetCommand;
@@ -57,6 +60,7 @@
   private final RolloutTable rollouts = new RolloutTable();
   private final RunTable runs = new RunTable();
   private final WeightsTable weights = new WeightsTable();
+  private final EvacuationTable evacuations = new EvacuationTable();
   private long index;
 
   private ControlState() {}
@@ -111,6 +115,8 @@
       runs.markInDoubt(doubt);
     } else if (command instanceof NameWeightsCommand named) {
       return applyNameWeights(previousIndex, named.weights());
+    } else if (command instanceof EvacuateCommand evacuate) {
+      return applyEvacuate(previousIndex, evacuate);
     } else if (command instanceof PruneCommand prune) {
       runs.prune(prune);
     }
@@ -238,6 +244,18 @@
     return new ApplyResult(Optional.of(NameWeightsAnswer.of(version)), change);
   }
 
+  private ApplyResult applyEvacuate(long previousIndex, EvacuateCommand command) {
+    EvacuationTable.Result result = evacuations.apply(command, index);
+    Optional<ViewChange> change =
+        result
+            .changed()
+            .map(
+                changed ->
+                    viewChange(previousIndex, List.of(), List.of(), List.of(), List.of(), List.of())
+                        .withEvacuations(List.of(changed)));
+    return new ApplyResult(Optional.of(result.answer()), change);
+  }
+
   private ApplyResult applySteerRollout(long previousIndex, SteerRolloutCommand command) {
     RolloutTable.SteerResult result = rollouts.steer(command);
     Optional<ViewChange> change =
@@ -286,7 +304,8 @@
         removals,
         changedTargets,
         changedRollouts,
-        changedWeights);
+        changedWeights,
+        List.of());
   }
 
   /** Returns the configuration, targets and rollouts on which placement decisions are based. */
@@ -318,6 +337,24 @@
     return weights.records();
   }
 
+  /** Returns the data centres whose evacuation was ordered, with those that ended. */
+  public List<Evacuation> evacuations() {
+    return evacuations.records();
+  }
+
+  /**
+   * Returns whether a target, a cache store or an earlier order of an evacuation is recorded for a
+   * data centre.
+   */
+  public boolean isRecordedDataCentre(String name) {
+    return evacuations.contains(name)
+        || targets.records().stream()
+            .anyMatch(record -> record.announcement().dataCentre().equals(name))
+        || configuration().objects().stream()
+            .anyMatch(
+                object -> object instanceof CacheStore store && store.dataCentre().equals(name));
+  }
+
   /** Returns the newest accepted publications, oldest first. */
   public List<PublishRecord> publications() {
     return publications.records();
@@ -360,7 +397,8 @@
         configuration().objects(),
         List.copyOf(targets.records()),
         rollouts.records(),
-        weights.records());
+        weights.records(),
+        evacuations.records());
   }
 
   /**
@@ -381,7 +419,8 @@
         runs.records(),
         rollouts.records(),
         publications.document(),
-        weights.records());
+        weights.records(),
+        evacuations.records());
   }
 
   /** Replaces the state with that of a snapshot. */
@@ -395,5 +434,6 @@
     runs.restore(snapshot.runs());
     rollouts.restore(snapshot.rollouts());
     weights.restore(snapshot.weights());
+    evacuations.restore(snapshot.evacuations());
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ViewStreamTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ViewStreamTest.java
@@ -17,7 +17,7 @@
 
   private final ViewStream stream =
       new ViewStream(
-          () -> FleetView.of(10, 1, List.of(), List.of(), List.of(), List.of()),
+          () -> FleetView.of(10, 1, List.of(), List.of(), List.of(), List.of(), List.of()),
           List::of,
           List::of,
           () -> UP_MILLIS);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
@@ -29,6 +29,11 @@
       ErrorType.INVALID_REQUEST,
       "No route has this name.",
       "List the routes with GET /v1/models."),
+  UNKNOWN_DATA_CENTRE(
+      404,
+      ErrorType.INVALID_REQUEST,
+      "No instance, target or cache store of this data centre is known.",
+      "Check the name of the data centre."),
   NOT_FOUND(404, ErrorType.INVALID_REQUEST, "Nothing is served at this path.", "Check the path."),
   METHOD_NOT_ALLOWED(
       405, ErrorType.INVALID_REQUEST, "The path does not take this method.", "Check the method."),
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
@@ -40,6 +40,20 @@
     return notRun(ErrorKind.UNKNOWN_ROUTE, "no route is named " + route).withField("model");
   }
 
+  public static ServingException unknownDataCentre(String dataCentre) {
+    return notRun(
+        ErrorKind.UNKNOWN_DATA_CENTRE,
+        "no instance, target or cache store of data centre " + dataCentre + " is known");
+  }
+
+  /** Returns the error for an order that an opposite one came before while it was under way. */
+  public static ServingException orderOvertaken(String dataCentre) {
+    return controlUnavailable(
+        "the order was not applied: the opposite one for data centre "
+            + dataCentre
+            + " came into force while it was under way");
+  }
+
   public static ServingException notFound(String path) {
     return notRun(ErrorKind.NOT_FOUND, "nothing is served at " + path);
   }
@@ -116,6 +130,13 @@
         .withRetryAfter(SHORT_RETRY_AFTER);
   }
 
+  /** Returns the error for a service whose targets are all in evacuated data centres. */
+  public static ServingException dataCentresEvacuated(String service) {
+    return notRun(
+            ErrorKind.NO_TARGET, "the data centres of all targets of " + service + " are evacuated")
+        .withRetryAfter(SHORT_RETRY_AFTER);
+  }
+
   /** Returns the error for a prompt with a part under which targets crashed. */
   public static ServingException promptQuarantined(String part) {
     return notRun(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ControlClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.geraniumwharf.control.ControlInstance;
 import org.geraniumwharf.error.ErrorKind;
 import org.geraniumwharf.error.ServingErrors;
@@ -61,11 +62,24 @@
    */
   public <T extends ControlAnswer> T call(PeerMessage call, Class<T> type, Instant deadline)
       throws ServingException {
+    return call(() -> call, type, deadline);
+  }
+
+  /**
+   * Calls the leader and blocks until it answers.
+   *
+   * @param call creates the call of each attempt
+   * @throws ServingException if there is no answer by the deadline, or the thread is interrupted;
+   *     whether the call was carried out is then not known
+   */
+  public <T extends ControlAnswer> T call(
+      Supplier<? extends PeerMessage> call, Class<T> type, Instant deadline)
+      throws ServingException {
     String lastCause = "no control instance answered";
     while (clock.instant().isBefore(deadline)) {
       String asked = leader;
       try {
-        ControlAnswer answer = attempt(asked, call, deadline);
+        ControlAnswer answer = attempt(asked, call.get(), deadline);
         if (type.isInstance(answer)) {
           return type.cast(answer);
         }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import org.geraniumwharf.announcement.AnnouncementOrder;
@@ -13,6 +15,7 @@
 import org.geraniumwharf.placement.ServableVersions;
 import org.geraniumwharf.routing.RoutableTarget;
 import org.geraniumwharf.schema.objects.Deployment;
+import org.geraniumwharf.schema.state.Evacuation;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.RolloutRecord;
 import org.geraniumwharf.schema.state.RolloutState;
@@ -27,13 +30,14 @@
 public final class FleetSnapshot {
 
   private static final FleetSnapshot EMPTY =
-      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of());
+      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of(), Set.of());
 
   private final long index;
   private final Configuration configuration;
   private final Map<String, TargetRecord> targets;
   private final Map<String, RolloutRecord> rollouts;
   private final Map<String, NamedWeights> weights;
+  private final Set<String> evacuated;
   private final Map<String, List<RoutableTarget>> routable = new ConcurrentHashMap<>();
 
   private FleetSnapshot(
@@ -41,12 +45,14 @@
       Configuration configuration,
       Map<String, TargetRecord> targets,
       Map<String, RolloutRecord> rollouts,
-      Map<String, NamedWeights> weights) {
+      Map<String, NamedWeights> weights,
+      Set<String> evacuated) {
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
     this.rollouts = rollouts;
     this.weights = weights;
+    this.evacuated = evacuated;
   }
 
   static FleetSnapshot empty() {
@@ -59,7 +65,8 @@
         Configuration.of(view.configurationVersion(), view.objects()),
         withTargets(Map.of(), view.targets()),
         withRollouts(Map.of(), view.rollouts()),
-        withWeights(Map.of(), view.weights()));
+        withWeights(Map.of(), view.weights()),
+        withEvacuations(Set.of(), view.evacuations()));
   }
 
   FleetSnapshot changed(ViewChange change) {
@@ -73,12 +80,13 @@
         newConfiguration,
         withTargets(targets, change.targets()),
         withRollouts(rollouts, change.rollouts()),
-        withWeights(weights, change.weights()));
+        withWeights(weights, change.weights()),
+        withEvacuations(evacuated, change.evacuations()));
   }
 
   /** Returns the same view at a later index, at which nothing in it had changed. */
   FleetSnapshot advanced(long newIndex) {
-    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights);
+    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights, evacuated);
   }
 
   private static Map<String, TargetRecord> withTargets(
@@ -102,6 +110,26 @@
     return after;
   }
 
+  private static Set<String> withEvacuations(Set<String> before, List<Evacuation> changes) {
+    if (changes.isEmpty()) {
+      return before;
+    }
+    Set<String> after = new TreeSet<>(before);
+    for (Evacuation change : changes) {
+      if (change.active()) {
+        after.add(change.dataCentre());
+      } else {
+        after.remove(change.dataCentre());
+      }
+    }
+    return Set.copyOf(after);
+  }
+
+  /** Returns the data centres whose targets get no requests. */
+  public Set<String> evacuated() {
+    return evacuated;
+  }
+
   /** Returns the newest version of a model's weights that an operator named. */
   public Optional<NamedWeights> namedWeights(String model) {
     return Optional.ofNullable(weights.get(model));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewReports.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/ViewReports.java
@@ -25,10 +25,43 @@
         });
   }
 
+  /** Logs each start and each end of an evacuation when it takes effect at this instance. */
+  public static void logEvacuations(FleetViewHolder holder, EventLog log) {
+    holder.onChange(
+        (before, after) -> {
+          if (before.evacuated().equals(after.evacuated())) {
+            return;
+          }
+          logEvacuations("evacuation-start-applied", before, after, after, holder, log);
+          logEvacuations("evacuation-end-applied", after, before, after, holder, log);
+        });
+  }
+
+  /** Logs the data centres that are evacuated in the second view and not in the first. */
+  private static void logEvacuations(
+      String event,
+      FleetSnapshot without,
+      FleetSnapshot with,
+      FleetSnapshot view,
+      FleetViewHolder holder,
+      EventLog log) {
+    for (String dataCentre : with.evacuated()) {
+      if (!without.evacuated().contains(dataCentre)) {
+        log.info(
+            Event.of(event)
+                .with("dataCentre", dataCentre)
+                .with("index", view.index())
+                .with("from", holder.origin().instance())
+                .with("ageMillis", holder.origin().age().toMillis()));
+      }
+    }
+  }
+
   /** Registers what is in force and how long ago it was last confirmed. */
   public static void registerGauges(
       FleetViewHolder holder, DaemonMetrics metrics, InstantSource clock) {
     metrics.gauge("configuration_version", () -> holder.current().configuration().version());
+    metrics.gauge("evacuated_data_centres", () -> holder.current().evacuated().size());
     metrics.gauge("view_index", () -> holder.current().index());
     metrics.gauge("view_age_seconds", () -> ageSeconds(holder, clock.instant()));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -16,6 +16,8 @@
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.schema.messages.EvacuateAnswer;
+import org.geraniumwharf.schema.messages.EvacuateCall;
 import org.geraniumwharf.schema.messages.NameWeightsAnswer;
 import org.geraniumwharf.schema.messages.NameWeightsCall;
 import org.geraniumwharf.schema.messages.PublishAnswer;
@@ -23,6 +25,8 @@
 import org.geraniumwharf.schema.messages.PublishOutcome;
 import org.geraniumwharf.schema.messages.ReadDocumentAnswer;
 import org.geraniumwharf.schema.messages.ReadDocumentCall;
+import org.geraniumwharf.schema.messages.ReadIndexAnswer;
+import org.geraniumwharf.schema.messages.ReadIndexCall;
 import org.geraniumwharf.schema.objects.PublishedObject;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.targets.Announcement;
@@ -35,6 +39,13 @@
 
   private static final Duration PUBLISH_TIMEOUT = Duration.ofMillis(2500);
   private static final Duration READ_TIMEOUT = Duration.ofMillis(900);
+
+  /**
+   * Time from the receipt of an order to evacuate after which it is given up. Operators resend an
+   * order for 5 s.
+   */
+  private static final Duration EVACUATE_TIMEOUT = Duration.ofMillis(2500);
+
   private static final Duration LEAVE_TIMEOUT = Duration.ofMillis(850);
   private static final long LEAVE_POLL_MILLIS = 10;
 
@@ -43,6 +54,7 @@
   private final FleetMembership membership;
   private final FleetViewHolder holder;
   private final TargetRegistrations registrations;
+  private final boolean isEvacuationEnabled;
   private final EventLog log;
   private final InstantSource clock;
 
@@ -52,6 +64,7 @@
       FleetMembership membership,
       FleetViewHolder holder,
       TargetRegistrations registrations,
+      boolean isEvacuationEnabled,
       EventLog log,
       InstantSource clock) {
     this.self = self;
@@ -59,6 +72,7 @@
     this.membership = membership;
     this.holder = holder;
     this.registrations = registrations;
+    this.isEvacuationEnabled = isEvacuationEnabled;
     this.log = log;
     this.clock = clock;
   }
@@ -130,6 +144,47 @@
             .with("newest", answer.version()));
   }
 
+  /** Returns whether the settings allow orders to evacuate data centres. */
+  public boolean isEvacuationEnabled() {
+    return isEvacuationEnabled;
+  }
+
+  /**
+   * Starts or ends the evacuation of a data centre. The newest index is confirmed first, so that an
+   * order that is held up on its way to the leader is not applied behind an opposite one.
+   *
+   * @throws ServingException if the data centre is not known, the order was overtaken, or the
+   *     outcome is not known
+   */
+  public void evacuate(String dataCentre, boolean isStart) throws ServingException {
+    Instant received = clock.instant();
+    ReadIndexAnswer confirmed =
+        client.call(ReadIndexCall.of(self), ReadIndexAnswer.class, received.plus(READ_TIMEOUT));
+    EvacuateAnswer answer =
+        client.call(
+            () ->
+                EvacuateCall.of(
+                    dataCentre,
+                    isStart,
+                    confirmed.index(),
+                    Duration.between(received, clock.instant()).toMillis()),
+            EvacuateAnswer.class,
+            received.plus(EVACUATE_TIMEOUT));
+    log.info(
+        Event.of(isStart ? "evacuation-start" : "evacuation-end")
+            .with("dataCentre", dataCentre)
+            .with("outcome", answer.outcome())
+            .with("by", self)
+            .with("receivedIndex", confirmed.index())
+            .with("changedIndex", answer.changedIndex())
+            .with("millis", Duration.between(received, clock.instant()).toMillis()));
+    switch (answer.outcome()) {
+      case ACCEPTED -> {}
+      case OVERTAKEN -> throw ServingErrors.orderOvertaken(dataCentre);
+      case UNKNOWN -> throw ServingErrors.unknownDataCentre(dataCentre);
+    }
+  }
+
   /**
    * Takes what a target tells of itself. One that is leaving is answered only once that is
    * committed and known here, so that no daemon gives it work for long after the answer.
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -225,6 +225,7 @@
     PeerService peers =
         PeerService.start(network, ControlDirectory.parseAddress(settings.peer()), log);
     ViewReports.logConfigurations(holder, log);
+    ViewReports.logEvacuations(holder, log);
     if (settings.isControl()) {
       startControl(peers);
     }
@@ -269,7 +270,15 @@
         DaemonThreads.start(
             new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner"));
     ControlService service =
-        new ControlService(settings.peer(), client, membership, holder, registrations, log, clock);
+        new ControlService(
+            settings.peer(),
+            client,
+            membership,
+            holder,
+            registrations,
+            settings.evacuation().isPresent(),
+            log,
+            clock);
     controlThreads.add(DaemonThreads.start(weightsRollout(started, service), "weights-rollout"));
     metrics.gauge("engines_behind", () -> WeightsRollout.enginesBehind(holder.current()));
     readStores(started);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -25,6 +25,8 @@
  * @param retryReserve repeats of all instances together beyond that share
  * @param replacedWeights time after which no request may begin on replaced weights
  * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
+ * @param evacuation time after which an ordered evacuation must be in force; empty to take no such
+ *     orders
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -44,6 +46,7 @@
     double retryReserve,
     ReplacedWeights.Bounds replacedWeights,
     int heldRequests,
+    Optional<Duration> evacuation,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -56,6 +56,7 @@
             number("relay", "retry-reserve"),
             replacedWeights(),
             heldRequests(),
+            evacuation(),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -116,6 +117,12 @@
     return (int) value;
   }
 
+  /** Reads the time after which an ordered evacuation must be in force; no orders without it. */
+  private Optional<Duration> evacuation() {
+    return optional("relay", "evacuation-millis")
+        .map(value -> optionalMillis("relay", "evacuation-millis", Duration.ZERO));
+  }
+
   private Optional<String> optional(String section, String key) {
     String value = ini.value(section, key);
     return value.isEmpty() ? Optional.empty() : Optional.of(value);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -146,6 +146,7 @@
   private boolean isExcluded(TargetCall next, Instant now) {
     return relay().load().isClosed(next.target(), now)
         || relay().isOverdue(next.target(), now)
+        || relay().isEvacuated(next.target())
         || !relay().load().permits().isValid(next.permit(), now);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -84,7 +84,8 @@
     }
     return relay()
         .findOverdue(request(), now)
-        .map(overdue -> overdue.withRetryAfter(noTargetRetryAfter(now)));
+        .or(() -> relay().findEvacuated(request()))
+        .map(refusal -> refusal.withRetryAfter(noTargetRetryAfter(now)));
   }
 
   /** Decides on a target; empty if the request has to wait behind others in any case. */
@@ -110,11 +111,7 @@
     Openings openings = relay().openings(request(), exchange.calls().triedTargets(), now);
     Optional<Instant> opensAt = openings.opensAt();
     if (opensAt.isEmpty()) {
-      exchange
-          .end()
-          .reject(
-              ServingErrors.noTarget(request().route().name())
-                  .withRetryAfter(noTargetRetryAfter(now)));
+      rejectWithoutTarget(now);
       return;
     }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request().deadline(), now)))) {
@@ -141,6 +138,10 @@
   /** Rejects a queued request that no target will take before it has to leave the queue. */
   private void rejectIfTooLate(RelayQueue.Entry<RelayExchange> queued, Instant now) {
     Openings openings = relay().openings(request(), exchange.calls().triedTargets(), now);
+    if (openings.opensAt().isEmpty() && relay().isEvacuating()) {
+      rejectWithoutTarget(now);
+      return;
+    }
     Optional<Instant> earliest = openings.earliestAt();
     if (earliest.filter(time -> time.isAfter(queued.expiresAt())).isPresent()) {
       recordRefusedAtLimit(openings);
@@ -195,6 +196,14 @@
 
   // ----------------------------------------------------------------- refusals
 
+  private void rejectWithoutTarget(Instant now) {
+    exchange
+        .end()
+        .reject(
+            ServingErrors.noTarget(request().route().name())
+                .withRetryAfter(noTargetRetryAfter(now)));
+  }
+
   private void rejectOverloaded(Duration retryAfter, Instant now) {
     exchange.end().rejectOverloaded(retryAfter, exchange.remaining(now));
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,10 +24,12 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.EvacuationExclusion;
 import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.PlacementQuery;
+import org.geraniumwharf.relay.PlacementRules;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -52,6 +54,7 @@
   private final RelayPlacement placement;
   private final RelayLoadTable load;
   private final WeightsLimit weights;
+  private final EvacuationExclusion evacuation;
   private final LoggedQuarantine quarantine;
   private final Relay.Rules rules;
   private final IntSupplier liveInstances;
@@ -75,6 +78,7 @@
       Relay.Rules rules,
       RelayLoadTable load,
       WeightsLimit weights,
+      EvacuationExclusion evacuation,
       LoggedQuarantine quarantine,
       IntSupplier liveInstances,
       DaemonMetrics metrics,
@@ -86,7 +90,10 @@
     this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
-    this.placement = RelayPlacement.forDataCentre(rules.dataCentre()).withLimit(weights);
+    this.evacuation = evacuation;
+    this.placement =
+        RelayPlacement.of(
+            PlacementRules.standard(rules.dataCentre()).with(evacuation).withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -121,6 +128,7 @@
             rules,
             load,
             weights,
+            EvacuationExclusion.of(() -> holder.current().evacuated()),
             quarantine,
             liveInstances,
             metrics,
@@ -176,6 +184,24 @@
     return weights.isOverdue(target, now);
   }
 
+  /** Returns whether a target is in a data centre that is evacuated. */
+  boolean isEvacuated(RelayTarget target) {
+    return evacuation.isExcluded(target);
+  }
+
+  /** Returns whether any data centre is evacuated. */
+  boolean isEvacuating() {
+    return evacuation.isActive();
+  }
+
+  /** Returns the error for a request whose targets are all in evacuated data centres. */
+  Optional<ServingException> findEvacuated(ResolvedRequest request) {
+    String service = request.service().name();
+    return evacuation.isEveryExcluded(admission.routing().targetsOf(service))
+        ? Optional.of(ServingErrors.dataCentresEvacuated(service))
+        : Optional.empty();
+  }
+
   /** Returns the error for a request whose targets all have weights replaced too long ago. */
   Optional<ServingException> findOverdue(ResolvedRequest request, Instant now) {
     String service = request.service().name();
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -26,7 +26,7 @@
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(1, 1, objects, targets, List.of(), List.of()),
+            FleetView.of(1, 1, objects, targets, List.of(), List.of(), List.of()),
             0,
             Optional.empty(),
             List.of()),
@@ -49,7 +49,10 @@
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, Optional.empty(), named),
+            FleetView.of(1, 1, List.of(), targets, List.of(), weights, List.of()),
+            0,
+            Optional.empty(),
+            named),
         now);
     return holder;
   }
@@ -72,7 +75,7 @@
     long index = holder.current().index() + 1;
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(index, 1, List.of(), targets, List.of(), weights),
+            FleetView.of(index, 1, List.of(), targets, List.of(), weights, List.of()),
             0,
             Optional.empty(),
             List.of()),
@@ -83,7 +86,7 @@
   public static FleetViewHolder holderOfNeverConfirmed(
       List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
-    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights);
+    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights, List.of());
     holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, Optional.empty(), List.of()), now);
     return holder;
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetViewHolderTest.java
@@ -156,7 +156,7 @@
 
   private static WatchSnapshot snapshot(long index, long version) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of(), List.of()),
         0,
         Optional.empty(),
         List.of());
@@ -171,6 +171,7 @@
         List.of(),
         List.of(),
         List.of(),
+        List.of(),
         List.of());
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
@@ -71,7 +71,8 @@
         OrderRecord.of(
             TERM, SEQUENCE, "drafting", "v2", List.of(), List.of("v1"), true, "weights", 0);
     TargetRecord record = TargetRecord.of(announcement(1), false, Optional.of(order));
-    FleetView view = FleetView.of(1, 1, List.of(), List.of(record), List.of(), List.of());
+    FleetView view =
+        FleetView.of(1, 1, List.of(), List.of(record), List.of(), List.of(), List.of());
     holder.apply(WatchSnapshot.of(view, 0, Optional.empty(), List.of()), NOW);
   }
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/StandInControl.java
@@ -103,7 +103,15 @@
     version = newVersion;
     ViewChange change =
         ViewChange.of(
-            index() - 1, index(), version, List.of(), List.of(), List.of(), List.of(), List.of());
+            index() - 1,
+            index(),
+            version,
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of());
     watchers.removeIf(sink -> !sink.offer(WatchDelta.of(change, ageMillis(), Optional.empty())));
   }
 
@@ -124,7 +132,8 @@
 
   @Override
   public void watch(long afterIndex, ViewSink sink) {
-    FleetView view = FleetView.of(index(), version, List.of(), List.of(), List.of(), List.of());
+    FleetView view =
+        FleetView.of(index(), version, List.of(), List.of(), List.of(), List.of(), List.of());
     if (sink.offer(WatchSnapshot.of(view, ageMillis(), Optional.empty(), List.of()))) {
       watchers.add(sink);
     }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/ViewReportsTest.java
@@ -83,7 +83,7 @@
 
   private static WatchSnapshot snapshot(long index, long version, long ageMillis) {
     return WatchSnapshot.of(
-        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of()),
+        FleetView.of(index, version, List.of(), List.of(), List.of(), List.of(), List.of()),
         ageMillis,
         Optional.empty(),
         List.of());
