--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledFleet.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledFleet.java
@@ -99,6 +99,7 @@
     values.put("bounds.grace_s", "3");
     values.put("bounds.version_ms", "6000");
     values.put("bounds.version_all_ms", "8400");
+    values.put("bounds.evacuate_ms", "5000");
     String settings =
         PLACEHOLDER
             .matcher(Files.readString(Path.of("deploy/node.ini")))
