--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -4,13 +4,16 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.state.Evacuation;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.view.FleetView;
 import org.geraniumwharf.schema.view.NamedDuration;
+import org.geraniumwharf.schema.view.ViewChange;
 
 /** Views for tests of other packages. */
 public final class FleetFixtures {
@@ -57,6 +60,23 @@
     return holder;
   }
 
+  /** Tells a holder of a change of an evacuation at an index. */
+  public static void tellEvacuation(
+      FleetViewHolder holder, long index, String dataCentre, boolean active, Instant now) {
+    ViewChange change =
+        ViewChange.of(
+            holder.current().index(),
+            index,
+            holder.current().configuration().version(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(Evacuation.of(dataCentre, active, index, 0)));
+    holder.apply(WatchDelta.of(change, 0, Optional.empty()), now);
+  }
+
   /** Tells a holder that its view is the newest, from a control process that was started lately. */
   public static void confirm(FleetViewHolder holder, Duration up, Instant now) {
     holder.apply(
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,16 @@
 
   @TempDir Path folder;
 
+  /** Guards against a start that fails where the platform states no bound. */
+  @Test
+  void should_take_no_orders_to_evacuate_without_their_bound() throws Exception {
+    assertEquals(Optional.empty(), load("").evacuation());
+    assertEquals(Optional.empty(), load("evacuation-millis =\n").evacuation());
+    assertEquals(
+        Optional.of(Duration.ofSeconds(5)), load("evacuation-millis = 5000\n").evacuation());
+    assertThrows(InvalidSettingsException.class, () -> load("evacuation-millis = 0\n"));
+  }
+
   @Test
   void should_take_the_default_bounds_where_the_platform_names_none() throws Exception {
     NodeSettings settings = load("replaced-weights-millis =\nreplaced-weights-total-millis =\n");
