--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -157,6 +157,20 @@
    *     outcome is not known
    */
   public void evacuate(String dataCentre, boolean isStart) throws ServingException {
+    try {
+      orderEvacuation(dataCentre, isStart);
+    } catch (ServingException e) {
+      log.warn(
+          Event.of("evacuation-order-failed")
+              .with("dataCentre", dataCentre)
+              .with("start", isStart)
+              .with("by", self)
+              .with("cause", e.getMessage()));
+      throw e;
+    }
+  }
+
+  private void orderEvacuation(String dataCentre, boolean isStart) throws ServingException {
     Instant received = clock.instant();
     ReadIndexAnswer confirmed =
         client.call(ReadIndexCall.of(self), ReadIndexAnswer.class, received.plus(READ_TIMEOUT));
