--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetFixtures.java
@@ -4,13 +4,16 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.schema.messages.WatchDelta;
 import org.geraniumwharf.schema.messages.WatchFreshness;
 import org.geraniumwharf.schema.messages.WatchSnapshot;
 import org.geraniumwharf.schema.objects.PublishedObject;
+import org.geraniumwharf.schema.state.Evacuation;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.TargetRecord;
 import org.geraniumwharf.schema.view.FleetView;
 import org.geraniumwharf.schema.view.NamedDuration;
+import org.geraniumwharf.schema.view.ViewChange;
 
 /** Views for tests of other packages. */
 public final class FleetFixtures {
@@ -26,7 +29,7 @@
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(1, 1, objects, targets, List.of(), List.of()),
+            FleetView.of(1, 1, objects, targets, List.of(), List.of(), List.of()),
             0,
             Optional.empty(),
             List.of()),
@@ -49,11 +52,31 @@
     FleetViewHolder holder = FleetViewHolder.create();
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(1, 1, List.of(), targets, List.of(), weights), 0, Optional.empty(), named),
+            FleetView.of(1, 1, List.of(), targets, List.of(), weights, List.of()),
+            0,
+            Optional.empty(),
+            named),
         now);
     return holder;
   }
 
+  /** Tells a holder of a change of an evacuation at an index. */
+  public static void tellEvacuation(
+      FleetViewHolder holder, long index, String dataCentre, boolean active, Instant now) {
+    ViewChange change =
+        ViewChange.of(
+            holder.current().index(),
+            index,
+            holder.current().configuration().version(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(Evacuation.of(dataCentre, active, index, 0)));
+    holder.apply(WatchDelta.of(change, 0, Optional.empty()), now);
+  }
+
   /** Tells a holder that its view is the newest, from a control process that was started lately. */
   public static void confirm(FleetViewHolder holder, Duration up, Instant now) {
     holder.apply(
@@ -72,7 +95,7 @@
     long index = holder.current().index() + 1;
     holder.apply(
         WatchSnapshot.of(
-            FleetView.of(index, 1, List.of(), targets, List.of(), weights),
+            FleetView.of(index, 1, List.of(), targets, List.of(), weights, List.of()),
             0,
             Optional.empty(),
             List.of()),
@@ -83,7 +106,7 @@
   public static FleetViewHolder holderOfNeverConfirmed(
       List<TargetRecord> targets, List<NamedWeights> weights, Instant now) {
     FleetViewHolder holder = FleetViewHolder.create();
-    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights);
+    FleetView view = FleetView.of(1, 1, List.of(), targets, List.of(), weights, List.of());
     holder.apply(WatchSnapshot.of(view, NEVER_CONFIRMED_MILLIS, Optional.empty(), List.of()), now);
     return holder;
   }
