Limit the requests that cold targets get from all entry instances

A target that has just started, or announces that it is cold, fails under far more requests per second than it states; instances knew nothing of it.

Targets state the time left in their heartbeats, services their rate. The leader records when a target becomes cold and when that ends, and ranks the live entry instances in its answers to heartbeats. Rank and hash of the target select the instances that may send, one request per second each.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
@@ -78,7 +78,8 @@
             Optional.empty(),
             NOW);
     EngineCapacity engine = EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
-    RelayService service = RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
+    RelayService service =
+        RelayService.of("engines", Optional.empty(), 300, Optional.of(engine), Optional.empty());
     RelayRoute route =
         RelayRoute.of(
             "drafts",
--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/bench/ControlMeasurements.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/bench/ControlMeasurements.java
@@ -277,6 +277,7 @@
         Optional.empty(),
         false,
         Optional.empty(),
+        0,
         0);
   }
 
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -156,7 +156,8 @@
             duties.quarantinedParts(),
             stores.changesSince(heartbeat.storePositions()),
             duties.targetLimits(now),
-            duties.issuePermits(heartbeat, now)));
+            duties.issuePermits(heartbeat, now),
+            duties.entryRank(heartbeat, state, core.confirmedAge(now), now)));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -17,8 +17,10 @@
 import org.geraniumwharf.quarantine.CrashLedger;
 import org.geraniumwharf.quarantine.QuarantineChange;
 import org.geraniumwharf.quarantine.QuarantineEvents;
+import org.geraniumwharf.relay.EntryRanks;
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
+import org.geraniumwharf.schema.messages.EntryRank;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
 import org.geraniumwharf.schema.messages.LimitReport;
 import org.geraniumwharf.schema.messages.OrganisationShare;
@@ -52,8 +54,10 @@
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private final ReportedLoad reportedLoad = new ReportedLoad();
   private final PermitDuty permits;
+  private final ColdDuty cold;
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
+  private EntryRanks ranks = EntryRanks.ofLeaderSince(Instant.EPOCH);
   private Instant leaderSince = Instant.MIN;
   private Instant nextPrune = Instant.MIN;
 
@@ -61,6 +65,7 @@
     this.options = options;
     this.log = log;
     this.permits = new PermitDuty(log);
+    this.cold = new ColdDuty(log);
   }
 
   /**
@@ -72,6 +77,8 @@
     daemonLeases.clear();
     reportedLoad.clear();
     permits.startLeadership();
+    cold.startLeadership(state, now);
+    ranks = EntryRanks.ofLeaderSince(now);
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
     leaderSince = now;
@@ -99,8 +106,10 @@
     }
     for (Announcement announcement : call.announcements()) {
       renewTargetLease(announcement.id(), announcement.incarnation(), announcement.sequence(), now);
-      if (isNewContent(announcement, state)) {
-        commands.add(AnnounceCommand.of(announcement));
+      Announcement completed = cold.completed(announcement, state, now);
+      if (isNewContent(completed, state, now)) {
+        cold.recordAnnounced(completed, state, now);
+        commands.add(AnnounceCommand.of(completed));
       }
     }
     return commands;
@@ -148,6 +157,29 @@
     return permits.limits(now);
   }
 
+  /**
+   * Returns the rank of an entry instance among the live ones, by which they divide the requests to
+   * cold targets; empty if it has none, or if no service limits these requests.
+   *
+   * @param confirmedAge time since a quorum confirmed this leader
+   */
+  Optional<EntryRank> entryRank(
+      HeartbeatCall call, ControlState state, Duration confirmedAge, Instant now) {
+    DaemonLease lease = daemonLeases.get(call.daemon().name());
+    boolean isCurrent =
+        lease != null && lease.status().incarnation() == call.daemon().incarnation();
+    return isCurrent && cold.isAnyLimited(state)
+        ? ranks.rank(call.daemon().name(), () -> liveEntryNames(now), confirmedAge, now)
+        : Optional.empty();
+  }
+
+  private Set<String> liveEntryNames(Instant now) {
+    return liveDaemons(now).stream()
+        .filter(DaemonStatus::ready)
+        .map(DaemonStatus::name)
+        .collect(Collectors.toSet());
+  }
+
   /** Issues permits for limited targets for the demands that a daemon reports. */
   List<PermitGrant> issuePermits(HeartbeatCall call, Instant now) {
     return permits.issue(call, now);
@@ -175,14 +207,15 @@
     }
   }
 
-  private static boolean isNewContent(Announcement announcement, ControlState state) {
+  private boolean isNewContent(Announcement announcement, ControlState state, Instant now) {
     Optional<TargetRecord> existing = state.target(announcement.id());
     if (existing.isEmpty() || existing.get().lapsed()) {
       return true;
     }
     Announcement current = existing.get().announcement();
     return AnnouncementOrder.isNewer(announcement, current)
-        && !AnnouncementOrder.hasSameContent(announcement, current);
+        && (!AnnouncementOrder.hasSameContent(announcement, current)
+            || cold.isChanged(announcement, current, now));
   }
 
   /** Returns the commands for expired leases and for runs that are due to be pruned. */
@@ -192,11 +225,30 @@
     if (hasRecentHeartbeat(now)) {
       addExpiredTargets(state, now, commands);
     }
+    for (Announcement warm : cold.ended(state, now)) {
+      commands.add(AnnounceCommand.of(withNextSequence(warm)));
+    }
     addRunsInDoubt(state, now, commands);
     addPrune(state, now, commands);
     return commands;
   }
 
+  /**
+   * Returns a statement of the leader about a target, which is newer than all that the target
+   * announced, and lets the lease expire as before.
+   */
+  private Announcement withNextSequence(Announcement announcement) {
+    TargetLease lease = targetLeases.get(announcement.id());
+    long known =
+        lease != null && lease.incarnation() == announcement.incarnation() ? lease.sequence() : 0;
+    long next = Math.max(announcement.sequence(), known) + 1;
+    if (lease != null && lease.incarnation() == announcement.incarnation()) {
+      targetLeases.put(
+          announcement.id(), new TargetLease(lease.incarnation(), next, lease.renewedAt()));
+    }
+    return announcement.withSequence(next);
+  }
+
   /**
    * Returns whether any daemon sent a heartbeat within a target lease. If none did, this leader is
    * probably cut off itself, so it must not let all targets expire.
@@ -252,6 +304,7 @@
     nextPrune = now.plus(PRUNE_INTERVAL);
     limitShares.prune(now);
     permits.prune(state, now);
+    cold.prune(state, now);
     PruneCommand prune =
         PruneCommand.of(
             now.minus(options.runRetention()).toEpochMilli(),
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/SimulatedEngine.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/SimulatedEngine.java
@@ -143,6 +143,7 @@
         Optional.of(EngineProfile.of(8, 20_000, 100, maxLoaded)),
         false,
         progress,
+        0,
         0);
   }
 }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/state/ControlStateTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/state/ControlStateTest.java
@@ -133,6 +133,7 @@
             Optional.empty(),
             leaving,
             Optional.empty(),
+            0,
             0);
     return apply(AnnounceCommand.of(announcement)).change().isPresent();
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/announcement/AnnouncementOrder.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/announcement/AnnouncementOrder.java
@@ -26,8 +26,11 @@
         || (incarnation == currentIncarnation && sequence > currentSequence);
   }
 
-  /** Returns whether two announcements are equal apart from their sequences. */
+  /**
+   * Returns whether two announcements are equal apart from their sequences and the time for which
+   * the target stays cold, which differs between messages about the same end.
+   */
   public static boolean hasSameContent(Announcement one, Announcement other) {
-    return one.withSequence(0).equals(other.withSequence(0));
+    return one.withSequence(0).withColdMillis(0).equals(other.withSequence(0).withColdMillis(0));
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/Openings.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/Openings.java
@@ -18,13 +18,15 @@
  * @param earliestAt time before which no target accepts any request; empty without a waitable
  *     target
  * @param isAtLimit whether a waitable target is at its limit
+ * @param isCold whether all waitable targets are cold
  */
 public record Openings(
     List<RelayTarget> waitable,
     List<RelayTarget> overdue,
     Optional<Instant> opensAt,
     Optional<Instant> earliestAt,
-    boolean isAtLimit) {
+    boolean isAtLimit,
+    boolean isCold) {
 
   /** Collects the exclusions of one target after the other. */
   static final class Builder {
@@ -36,11 +38,13 @@
     private Instant opensAt = Instant.MAX;
     private Instant earliestAt = Instant.MAX;
     private boolean isAtLimit;
+    private boolean isCold = true;
 
     private RelayTarget target;
     private Instant end = Instant.MIN;
     private boolean isTargetLasting;
     private boolean isTargetAtLimit;
+    private boolean isTargetCold;
 
     Builder(PlacementQuery query, TargetPermits permits) {
       this.query = query;
@@ -52,6 +56,7 @@
       end = query.now();
       isTargetLasting = false;
       isTargetAtLimit = false;
+      isTargetCold = false;
     }
 
     void add(Exclusion exclusion) {
@@ -60,6 +65,7 @@
         overdue.add(target);
       }
       isTargetLasting |= exclusion.isLasting();
+      isTargetCold |= reason == Exclusion.Reason.COLD;
       isTargetAtLimit |= reason == Exclusion.Reason.NO_PERMIT;
       if (reason.effect() == Exclusion.Effect.TIMED && exclusion.until().isPresent()) {
         end = later(end, exclusion.until().get());
@@ -72,6 +78,7 @@
       }
       waitable.add(target);
       isAtLimit |= isTargetAtLimit;
+      isCold &= isTargetCold;
       earliestAt = end.isBefore(earliestAt) ? end : earliestAt;
       Instant turn = isTargetAtLimit ? later(end, expectedPermitAt()) : end;
       opensAt = turn.isBefore(opensAt) ? turn : opensAt;
@@ -98,7 +105,8 @@
           List.copyOf(overdue),
           isAny ? Optional.of(opensAt) : Optional.empty(),
           isAny ? Optional.of(earliestAt) : Optional.empty(),
-          isAtLimit);
+          isAtLimit,
+          isAny && isCold);
     }
   }
 }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -15,8 +15,8 @@
 
 /**
  * Load that this instance has in flight at each target, load that other instances reported, and the
- * health and availability of each target. Safe for use by several threads; no other lock than that
- * of the permits is taken while its lock is held.
+ * health and availability of each target. Safe for use by several threads; no other lock than those
+ * of the permits and of the cold targets is taken while its lock is held.
  */
 public final class RelayLoadTable {
 
@@ -33,13 +33,15 @@
   private final PartIndex partIndex = new PartIndex();
   private final TargetAvailability availability;
   private final TargetPermits permits;
+  private final ColdTargets cold;
   private Instant remoteLoadExpiresAt = Instant.MIN;
   private long changes;
   private long ends;
 
-  private RelayLoadTable(TargetAvailability availability, TargetPermits permits) {
+  private RelayLoadTable(TargetAvailability availability, TargetPermits permits, ColdTargets cold) {
     this.availability = availability;
     this.permits = permits;
+    this.cold = cold;
   }
 
   /**
@@ -58,7 +60,18 @@
    * @param permits permits for targets with a limit
    */
   public static RelayLoadTable create(String instance, TargetPermits permits) {
-    return new RelayLoadTable(TargetAvailability.forInstance(instance), permits);
+    return create(instance, permits, ColdTargets.unlimited());
+  }
+
+  /**
+   * Creates the table of an instance.
+   *
+   * @param instance name of the instance
+   * @param permits permits for targets with a limit
+   * @param cold cold targets
+   */
+  public static RelayLoadTable create(String instance, TargetPermits permits, ColdTargets cold) {
+    return new RelayLoadTable(TargetAvailability.forInstance(instance), permits, cold);
   }
 
   /**
@@ -99,6 +112,11 @@
     return permits;
   }
 
+  /** Returns what this instance knows of cold targets. */
+  public ColdTargets cold() {
+    return cold;
+  }
+
   /** Returns the load of a target for one request. */
   public synchronized Load load(RelayTarget target, ResolvedRequest resolved, Instant now) {
     EngineRates noRates = new EngineRates(1, 1);
@@ -362,6 +380,7 @@
   public synchronized void retainTargets(Set<String> targets, Instant now) {
     availability.retainTargets(targets, now);
     permits.retainTargets(targets, now);
+    cold.retainTargets(targets);
     groups.clear();
     Iterator<Map.Entry<String, Entry>> all = entries.entrySet().iterator();
     while (all.hasNext()) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetAvailability.java
@@ -88,7 +88,8 @@
         new TargetNotice(
             notice.isLeaving(),
             notice.pause().map(pause -> pause.plus(delay(target, pause))),
-            notice.limit());
+            notice.limit(),
+            notice.coldFor());
     Status after = before.withNotice(delayed, now);
     statuses.put(target.id(), after);
     return !before.isClosed(now) || after.isLeaving() != before.isLeaving();
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/placement/PlacementSnapshotBuilder.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/placement/PlacementSnapshotBuilder.java
@@ -63,6 +63,7 @@
             Optional.of(EngineProfile.of(8, 20_000, 100, maxLoaded)),
             false,
             Optional.empty(),
+            0,
             0);
     engines.add(TargetRecord.of(announcement, false, Optional.empty()));
     return this;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayTableTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RelayTableTest.java
@@ -18,7 +18,7 @@
 class RelayTableTest {
 
   private static final RelayService SERVICE =
-      RelayService.of("engines", Optional.empty(), 10, Optional.empty());
+      RelayService.of("engines", Optional.empty(), 10, Optional.empty(), Optional.empty());
   private static final RelayRoute SHORT = route("short", "/a/");
   private static final RelayRoute LONG = route("long", "/a/b/");
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -39,7 +39,8 @@
   }
 
   static ResolvedRequest plain(Execution execution) {
-    RelayService service = RelayService.of("bookings", Optional.empty(), 96, Optional.empty());
+    RelayService service =
+        RelayService.of("bookings", Optional.empty(), 96, Optional.empty(), Optional.empty());
     return resolved(service, execution, List.of(), Optional.empty());
   }
 
@@ -74,7 +75,8 @@
 
   static ResolvedRequest generation(Optional<Organisation> owner, PromptPart... parts) {
     EngineCapacity engine = EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
-    RelayService service = RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
+    RelayService service =
+        RelayService.of("engines", Optional.empty(), 300, Optional.of(engine), Optional.empty());
     return resolved(service, Execution.STREAM, List.of(parts), owner);
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/caller/CallerEdge.java
@@ -160,8 +160,9 @@
     if (!TargetUrls.isCallable(announcement)) {
       throw ServingErrors.invalidField("address", "must be a base URL that can be called");
     }
-    boolean isAccepted = registrations.accept(announcement, clock.instant());
-    if (isAccepted && !fleet.current().shows(announcement)) {
+    Instant now = clock.instant();
+    boolean isAccepted = registrations.accept(announcement, now);
+    if (isAccepted && !fleet.current().shows(announcement, now)) {
       log.info(
           Event.of("announcement")
               .with("target", announcement.id())
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.fleet;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.geraniumwharf.configuration.Configuration;
 import org.geraniumwharf.placement.PlacementSnapshot;
 import org.geraniumwharf.placement.ServableVersions;
+import org.geraniumwharf.relay.ColdEnd;
 import org.geraniumwharf.routing.RoutableTarget;
 import org.geraniumwharf.schema.objects.Deployment;
 import org.geraniumwharf.schema.state.NamedWeights;
@@ -27,13 +29,14 @@
 public final class FleetSnapshot {
 
   private static final FleetSnapshot EMPTY =
-      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of());
+      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of(), ColdEnds.none());
 
   private final long index;
   private final Configuration configuration;
   private final Map<String, TargetRecord> targets;
   private final Map<String, RolloutRecord> rollouts;
   private final Map<String, NamedWeights> weights;
+  private final ColdEnds coldEnds;
   private final Map<String, List<RoutableTarget>> routable = new ConcurrentHashMap<>();
 
   private FleetSnapshot(
@@ -41,12 +44,14 @@
       Configuration configuration,
       Map<String, TargetRecord> targets,
       Map<String, RolloutRecord> rollouts,
-      Map<String, NamedWeights> weights) {
+      Map<String, NamedWeights> weights,
+      ColdEnds coldEnds) {
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
     this.rollouts = rollouts;
     this.weights = weights;
+    this.coldEnds = coldEnds;
   }
 
   static FleetSnapshot empty() {
@@ -59,7 +64,8 @@
         Configuration.of(view.configurationVersion(), view.objects()),
         withTargets(Map.of(), view.targets()),
         withRollouts(Map.of(), view.rollouts()),
-        withWeights(Map.of(), view.weights()));
+        withWeights(Map.of(), view.weights()),
+        ColdEnds.none());
   }
 
   FleetSnapshot changed(ViewChange change) {
@@ -73,12 +79,24 @@
         newConfiguration,
         withTargets(targets, change.targets()),
         withRollouts(rollouts, change.rollouts()),
-        withWeights(weights, change.weights()));
+        withWeights(weights, change.weights()),
+        coldEnds);
+  }
+
+  /** Returns this view as the successor of another one, at its arrival. */
+  FleetSnapshot arrivedAfter(FleetSnapshot before, Instant now) {
+    return new FleetSnapshot(
+        index,
+        configuration,
+        targets,
+        rollouts,
+        weights,
+        before.coldEnds.updated(targets.values(), now));
   }
 
   /** Returns the same view at a later index, at which nothing in it had changed. */
   FleetSnapshot advanced(long newIndex) {
-    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights);
+    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights, coldEnds);
   }
 
   private static Map<String, TargetRecord> withTargets(
@@ -152,12 +170,22 @@
     return PlacementSnapshot.of(configuration, targets.values(), rollouts);
   }
 
-  /** Tells whether the view shows a live target just as it announces itself, sequence aside. */
-  public boolean shows(Announcement announcement) {
+  /** Returns until when targets are cold, by their ids. */
+  public Map<String, ColdEnd> coldEnds() {
+    return coldEnds.byTarget();
+  }
+
+  /**
+   * Tells whether the view shows a live target just as it announces itself, sequence aside.
+   *
+   * @param announcement its announcement, with the time for which it stays cold from now on
+   */
+  public boolean shows(Announcement announcement, Instant now) {
     TargetRecord record = targets.get(announcement.id());
     return record != null
         && !record.lapsed()
-        && AnnouncementOrder.hasSameContent(record.announcement(), announcement);
+        && AnnouncementOrder.hasSameContent(record.announcement(), announcement)
+        && coldEnds.shows(announcement, now);
   }
 
   /** Returns the engines that may take new work for a model version and adapter. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetViewHolder.java
@@ -119,9 +119,10 @@
     }
   }
 
-  private void replace(FleetSnapshot next, long ageMillis, Instant now) {
+  private void replace(FleetSnapshot received, long ageMillis, Instant now) {
     origin = new Origin(watched, Duration.ofMillis(ageMillis), sinceConfirmed(now));
     FleetSnapshot before = current;
+    FleetSnapshot next = received.arrivedAfter(before, now);
     current = next;
     List<RuntimeException> failures = new ArrayList<>();
     for (BiConsumer<FleetSnapshot, FleetSnapshot> listener : listeners) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -158,6 +158,7 @@
           new TargetPermits.Answer(answer.entryInstances(), answer.limits(), answer.permits()),
           now,
           clock.instant());
+      limits.ranked(answer.entryRank(), now);
       if (answer.entryInstances() > 0) {
         limiter.applyShares(answer.entryInstances(), answer.shares(), clock.instant());
       }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/LimitExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/LimitExchange.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.fleet;
 
 import java.time.Instant;
+import java.util.Optional;
 import org.geraniumwharf.limit.TargetPermits;
+import org.geraniumwharf.schema.messages.EntryRank;
 
 /** Limits of targets that daemons share, and permits for limited targets, by way of the leader. */
 public interface LimitExchange {
@@ -16,6 +18,13 @@
    */
   void answered(TargetPermits.Answer answer, Instant reportedAt, Instant now);
 
+  /**
+   * Applies the rank that the answer to a heartbeat states.
+   *
+   * @param askedAt time when the heartbeat was sent
+   */
+  void ranked(Optional<EntryRank> rank, Instant askedAt);
+
   /** Returns an exchange of a daemon that relays nothing. */
   static LimitExchange none() {
     return new LimitExchange() {
@@ -26,6 +35,9 @@
 
       @Override
       public void answered(TargetPermits.Answer answer, Instant reportedAt, Instant now) {}
+
+      @Override
+      public void ranked(Optional<EntryRank> rank, Instant askedAt) {}
     };
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/TargetRegistrations.java
@@ -52,8 +52,8 @@
     List<Announcement> announcements = new ArrayList<>();
     List<TargetRenewal> renewals = new ArrayList<>();
     for (Map.Entry<String, Heard> entry : heard.entrySet()) {
-      Announcement announcement = entry.getValue().announcement();
-      if (!view.shows(announcement)) {
+      Announcement announcement = entry.getValue().announcementAt(now);
+      if (!view.shows(announcement, now)) {
         announcements.add(announcement);
       } else if (!entry.getValue().isReported()) {
         renewals.add(
@@ -77,5 +77,14 @@
     }
   }
 
-  private record Heard(Announcement announcement, Instant at, boolean isReported) {}
+  private record Heard(Announcement announcement, Instant at, boolean isReported) {
+
+    /** Returns the announcement with the time for which the target is still cold. */
+    Announcement announcementAt(Instant now) {
+      long left = announcement.coldMillis() - Duration.between(at, now).toMillis();
+      return announcement.coldMillis() == 0
+          ? announcement
+          : announcement.withColdMillis(Math.max(0, left));
+    }
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/ControlService.java
@@ -100,6 +100,17 @@
     return answer.faults();
   }
 
+  /**
+   * Logs values of a set that are ignored.
+   *
+   * @param version version that the operator gave the set
+   */
+  public void reportIgnored(long version, List<String> fields) {
+    if (!fields.isEmpty()) {
+      log.warn(Event.of("publish-ignored").with("version", version).with("fields", fields));
+    }
+  }
+
   /**
    * Returns the document of the set in force.
    *
@@ -141,9 +152,10 @@
     if (lacksItsWeights(announcement)) {
       throw ServingErrors.invalidField("loaded", "the weights announced before are missing");
     }
-    boolean isNews = registrations.accept(announcement, clock.instant());
+    Instant now = clock.instant();
+    boolean isNews = registrations.accept(announcement, now);
     FleetSnapshot view = holder.current();
-    if (isNews && !view.shows(announcement)) {
+    if (isNews && !view.shows(announcement, now)) {
       membership.changed();
       log.info(
           Event.of("target-announced")
@@ -151,7 +163,8 @@
               .with("incarnation", announcement.incarnation())
               .with("sequence", announcement.sequence())
               .with("address", announcement.address())
-              .with("leaving", announcement.leaving()));
+              .with("leaving", announcement.leaving())
+              .with("coldMillis", announcement.coldMillis()));
     }
     if (announcement.leaving()) {
       awaitLeaving(announcement.id(), announcement.incarnation());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -53,6 +53,7 @@
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.ColdTargets;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.StoreChangeLog;
@@ -120,7 +121,9 @@
     this.quarantine = LoggedQuarantine.create(log);
     this.stores = KnownStores.create(log);
     TargetPermits permits = TargetPermits.create(settings.peer(), this::sendHeartbeat);
-    this.load = RelayLoadTable.create(settings.peer(), permits);
+    ColdTargets cold =
+        ColdTargets.within(settings.coldBounds(), ProcessAge.startAsOf(clock.instant()));
+    this.load = RelayLoadTable.create(settings.peer(), permits, cold);
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
     this.network =
         PeerNetwork.create(
@@ -147,7 +150,7 @@
             settings.isEntry() ? quarantine : CrashExchange.none(),
             settings.isEntry() ? stores : StoreExchange.none(),
             settings.isEntry()
-                ? RelayLimits.create(permits, this::wakeQueued, log)
+                ? RelayLimits.create(permits, cold, this::wakeQueued, log)
                 : LimitExchange.none(),
             log,
             clock);
@@ -344,6 +347,7 @@
             .with("millis", ProcessAge.millis()));
     metrics.gauge("in_flight", started::inFlight);
     registerPermitGauges();
+    registerColdGauges();
     metrics.gauge("quarantined_parts", () -> quarantine.size(clock.instant()));
     metrics.gauge("ready", () -> isReady() ? 1 : 0);
     startApi(settings.ready().orElseThrow(), edges.readiness(this::isReady));
@@ -357,6 +361,13 @@
     metrics.gauge("requests_steered_at_limit_total", () -> permits.counts().steered());
   }
 
+  private void registerColdGauges() {
+    ColdTargets cold = load.cold();
+    metrics.gauge("cold_targets", () -> cold.coldCount(clock.instant()));
+    metrics.gauge("cold_requests_total.sent", () -> cold.counts().sent());
+    metrics.gauge("cold_requests_total.withheld", () -> cold.counts().withheld());
+  }
+
   private boolean isReady() {
     return membership.readiness().isReady(clock.instant())
         && holder.current().configuration().version() > 0;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.relay.ColdBounds;
 import org.geraniumwharf.weights.ReplacedWeights;
 
 /**
@@ -25,6 +26,7 @@
  * @param retryReserve repeats of all instances together beyond that share
  * @param replacedWeights time after which no request may begin on replaced weights
  * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
+ * @param coldBounds bounds of the requests to a cold target; empty to treat it like any other
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -44,6 +46,7 @@
     double retryReserve,
     ReplacedWeights.Bounds replacedWeights,
     int heldRequests,
+    Optional<ColdBounds> coldBounds,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.geraniumwharf.internal.settings.IniFile;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
+import org.geraniumwharf.relay.ColdBounds;
 import org.geraniumwharf.weights.ReplacedWeights;
 
 /** Reads the settings of a node from an INI file and reports every fault with section and key. */
@@ -56,6 +57,7 @@
             number("relay", "retry-reserve"),
             replacedWeights(),
             heldRequests(),
+            coldBounds(),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -116,6 +118,22 @@
     return (int) value;
   }
 
+  /** Reads the bounds of the requests to a cold target; none unless both keys have a value. */
+  private Optional<ColdBounds> coldBounds() {
+    if (optional("relay", "cold-overage").isEmpty() || optional("relay", "cold-slack").isEmpty()) {
+      return Optional.empty();
+    }
+    double overage = number("relay", "cold-overage");
+    double slack = number("relay", "cold-slack");
+    if (!(overage > 0 && Double.isFinite(overage))) {
+      faults.add("[relay] cold-overage: must be above 0");
+    }
+    if (!(slack >= 0 && Double.isFinite(slack))) {
+      faults.add("[relay] cold-slack: must not be negative");
+    }
+    return Optional.of(new ColdBounds(overage, slack));
+  }
+
   private Optional<String> optional(String section, String key) {
     String value = ini.value(section, key);
     return value.isEmpty() ? Optional.empty() : Optional.of(value);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -113,7 +113,7 @@
       exchange.end().deadlineExceeded();
       return;
     }
-    if (isExcluded(next, now)) {
+    if (isExcluded(next, now) || !relay().tryColdSend(next.target(), exchange.request(), now)) {
       release(next, connection);
       excludedWhileConnecting(next);
       return;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
@@ -2,12 +2,15 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.logging.Event;
 
 /** Handles the result of each call of an exchange: returns it, or sends the request elsewhere. */
 final class ExchangeResults {
 
+  private static final int MISDIRECTED = HttpResponseStatus.MISDIRECTED_REQUEST.code();
+
   private final RelayExchange exchange;
 
   ExchangeResults(RelayExchange exchange) {
@@ -49,6 +52,11 @@
   }
 
   void notExecuted(TargetCall endedCall, int status) {
+    if (status == MISDIRECTED) {
+      endedCall
+          .estimate()
+          .ifPresent(sent -> relay().load().cold().withdraw(endedCall.target(), sent.sentAt()));
+    }
     exchange
         .calls()
         .resultOf(endedCall)
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -117,6 +117,9 @@
                   .withRetryAfter(noTargetRetryAfter(now)));
       return;
     }
+    if (openings.isCold()) {
+      opensAt = Optional.of(relay().expectedAtCold(request(), openings, now));
+    }
     if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request().deadline(), now)))) {
       recordRefusedAtLimit(openings);
       rejectOverloaded(Duration.between(now, opensAt.get()), now);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayLimits.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayLimits.java
@@ -2,11 +2,14 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.internal.fleet.LimitExchange;
 import org.geraniumwharf.limit.TargetLimit;
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.ColdTargets;
+import org.geraniumwharf.schema.messages.EntryRank;
 import org.geraniumwharf.schema.messages.PermitGrant;
 
 /**
@@ -18,11 +21,13 @@
   private static final String FROM_LEADER = "none";
 
   private final TargetPermits permits;
+  private final ColdTargets cold;
   private final Runnable wakeQueued;
   private final EventLog log;
 
-  private RelayLimits(TargetPermits permits, Runnable wakeQueued, EventLog log) {
+  private RelayLimits(TargetPermits permits, ColdTargets cold, Runnable wakeQueued, EventLog log) {
     this.permits = permits;
+    this.cold = cold;
     this.wakeQueued = wakeQueued;
     this.log = log;
   }
@@ -30,10 +35,11 @@
   /**
    * Creates the exchange of a relay.
    *
-   * @param wakeQueued called when queued requests may have a permit
+   * @param wakeQueued called when queued requests may have a permit or another rank
    */
-  public static RelayLimits create(TargetPermits permits, Runnable wakeQueued, EventLog log) {
-    return new RelayLimits(permits, wakeQueued, log);
+  public static RelayLimits create(
+      TargetPermits permits, ColdTargets cold, Runnable wakeQueued, EventLog log) {
+    return new RelayLimits(permits, cold, wakeQueued, log);
   }
 
   @Override
@@ -50,6 +56,17 @@
     }
   }
 
+  @Override
+  public void ranked(Optional<EntryRank> rank, Instant askedAt) {
+    if (cold.recordRank(rank, askedAt)) {
+      log.info(
+          Event.of("entry-rank")
+              .with("rank", rank.map(EntryRank::rank).map(String::valueOf).orElse("none"))
+              .with("instances", rank.map(EntryRank::instances).orElse(0)));
+      wakeQueued.run();
+    }
+  }
+
   /**
    * Logs that the limit of a target changed.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,10 +24,12 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.ColdExclusion;
 import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.PlacementQuery;
+import org.geraniumwharf.relay.PlacementRules;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -86,7 +88,9 @@
     this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
-    this.placement = RelayPlacement.forDataCentre(rules.dataCentre()).withLimit(weights);
+    PlacementRules standard = PlacementRules.standard(rules.dataCentre());
+    this.placement =
+        RelayPlacement.of(standard.with(new ColdExclusion(load.cold())).withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -128,6 +132,7 @@
             clock);
     holder.onChange(
         (before, after) -> {
+          relay.load.cold().replaceAnnounced(after.coldEnds());
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
           weights.recordNamed(after);
           weights.retainTargets(admission.routing().targets());
@@ -199,6 +204,7 @@
    * @param requestId request that the response answers
    */
   void recordNotice(RelayTarget target, TargetNotice notice, String requestId) {
+    load.cold().recordStated(target, notice.coldFor(), now());
     if (!load.recordNotice(target, notice, now())) {
       return;
     }
@@ -233,6 +239,19 @@
     return load.permits().take(target.id(), target.incarnation(), now);
   }
 
+  /** Counts a request about to be sent; false if the target is cold and must not get it now. */
+  boolean tryColdSend(RelayTarget target, ResolvedRequest request, Instant now) {
+    return load.cold().trySend(target, request.service(), now);
+  }
+
+  /**
+   * Returns when a request that finds only cold targets can be sent, behind those that are queued.
+   */
+  Instant expectedAtCold(ResolvedRequest request, Openings openings, Instant now) {
+    int ahead = queue(request).size();
+    return load.cold().expectedAt(openings.waitable(), request.service(), ahead, now);
+  }
+
   /** Records bytes of a target that belong to no response. */
   void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
     metrics.unexpectedBytes(bytes.cause().wireName());
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetSnapshotTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/FleetSnapshotTest.java
@@ -49,7 +49,8 @@
             Optional.empty(),
             false,
             Optional.empty(),
-            1);
+            1,
+            0);
     return TargetRecord.of(announcement, false, Optional.empty());
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
@@ -90,6 +90,7 @@
         Optional.empty(),
         false,
         Optional.empty(),
+        0,
         0);
   }
 }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/EngineRecords.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/EngineRecords.java
@@ -29,6 +29,7 @@
             Optional.empty(),
             false,
             Optional.empty(),
+            0,
             0);
     return TargetRecord.of(announcement, false, Optional.empty());
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
@@ -86,6 +86,7 @@
             Optional.of(EngineProfile.of(8, 20_000, 100, 1)),
             false,
             Optional.empty(),
+            0,
             0),
         false,
         Optional.empty());
--- a/geraniumwharf-testing/src/main/java/org/geraniumwharf/internal/testing/StandIn.java
+++ b/geraniumwharf-testing/src/main/java/org/geraniumwharf/internal/testing/StandIn.java
@@ -94,6 +94,7 @@
             Optional.empty(),
             isLeaving,
             Optional.empty(),
+            0,
             0));
   }
 
