--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/ColdFleet.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/ColdFleet.java
@@ -235,6 +235,11 @@
         .orElse(0);
   }
 
+  /** Returns the most requests that a target got in any one second since a time. */
+  int mostInOneSecond(String target, long fromMillis) {
+    return mostInOneSecond(sendsByTarget.getOrDefault(target, List.of()), fromMillis);
+  }
+
   private static int mostInOneSecond(List<Long> sends, long fromMillis) {
     int most = 0;
     int first = 0;
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
+import org.geraniumwharf.relay.ColdBounds;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -68,6 +70,31 @@
     assertEquals(Duration.ofMillis(1501), settings.replacedWeights().inTotal());
   }
 
+  @Test
+  void should_not_limit_requests_to_cold_targets_unless_both_keys_have_a_value() throws Exception {
+    String overage = "cold-overage = 1.5\n";
+
+    assertEquals(Optional.empty(), load("").coldBounds());
+    assertEquals(Optional.empty(), load("cold-overage =\ncold-slack =\n").coldBounds());
+    assertEquals(Optional.empty(), load(overage + "cold-slack =\n").coldBounds());
+    assertEquals(
+        Optional.of(new ColdBounds(1.5, 5)), load(overage + "cold-slack = 5\n").coldBounds());
+    assertEquals(
+        Optional.of(new ColdBounds(1.5, 0)), load(overage + "cold-slack = 0\n").coldBounds());
+  }
+
+  @Test
+  void should_refuse_bounds_of_cold_targets_that_are_no_bounds() {
+    String slack = "cold-slack = 5\n";
+
+    for (String overage : List.of("0", "-1", "NaN", "Infinity", "much")) {
+      assertThrows(
+          InvalidSettingsException.class, () -> load("cold-overage = " + overage + "\n" + slack));
+    }
+    assertThrows(
+        InvalidSettingsException.class, () -> load("cold-overage = 1.5\ncold-slack = -1\n"));
+  }
+
   private NodeSettings load(String relayLines) throws IOException, InvalidSettingsException {
     Path file = folder.resolve("node.ini");
     Files.writeString(
