--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -115,6 +115,9 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
+    // Before the routing, so that no request finds a new process without knowing that it is cold.
+    holder.onChange((before, after) -> load.cold().replaceAnnounced(after.coldEnds()));
+    load.cold().replaceAnnounced(holder.current().coldEnds());
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     WeightsLimit weights = WeightsLimit.create(holder, rules.weights(), metrics, log);
     RelayState relay =
@@ -132,7 +135,6 @@
             clock);
     holder.onChange(
         (before, after) -> {
-          relay.load.cold().replaceAnnounced(after.coldEnds());
           relay.load.retainTargets(admission.routing().targetIds(), relay.now());
           weights.recordNamed(after);
           weights.retainTargets(admission.routing().targets());
