--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetSnapshot.java
@@ -1,5 +1,6 @@
 package org.geraniumwharf.internal.fleet;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.geraniumwharf.configuration.Configuration;
 import org.geraniumwharf.placement.PlacementSnapshot;
 import org.geraniumwharf.placement.ServableVersions;
+import org.geraniumwharf.relay.ColdEnd;
 import org.geraniumwharf.routing.RoutableTarget;
 import org.geraniumwharf.schema.objects.Deployment;
 import org.geraniumwharf.schema.state.Evacuation;
@@ -30,7 +32,8 @@
 public final class FleetSnapshot {
 
   private static final FleetSnapshot EMPTY =
-      new FleetSnapshot(0, Configuration.empty(), Map.of(), Map.of(), Map.of(), Set.of());
+      new FleetSnapshot(
+          0, Configuration.empty(), Map.of(), Map.of(), Map.of(), Set.of(), ColdEnds.none());
 
   private final long index;
   private final Configuration configuration;
@@ -38,6 +41,7 @@
   private final Map<String, RolloutRecord> rollouts;
   private final Map<String, NamedWeights> weights;
   private final Set<String> evacuated;
+  private final ColdEnds coldEnds;
   private final Map<String, List<RoutableTarget>> routable = new ConcurrentHashMap<>();
 
   private FleetSnapshot(
@@ -46,13 +50,15 @@
       Map<String, TargetRecord> targets,
       Map<String, RolloutRecord> rollouts,
       Map<String, NamedWeights> weights,
-      Set<String> evacuated) {
+      Set<String> evacuated,
+      ColdEnds coldEnds) {
     this.index = index;
     this.configuration = configuration;
     this.targets = targets;
     this.rollouts = rollouts;
     this.weights = weights;
     this.evacuated = evacuated;
+    this.coldEnds = coldEnds;
   }
 
   static FleetSnapshot empty() {
@@ -66,7 +72,8 @@
         withTargets(Map.of(), view.targets()),
         withRollouts(Map.of(), view.rollouts()),
         withWeights(Map.of(), view.weights()),
-        withEvacuations(Set.of(), view.evacuations()));
+        withEvacuations(Set.of(), view.evacuations()),
+        ColdEnds.none());
   }
 
   FleetSnapshot changed(ViewChange change) {
@@ -81,12 +88,26 @@
         withTargets(targets, change.targets()),
         withRollouts(rollouts, change.rollouts()),
         withWeights(weights, change.weights()),
-        withEvacuations(evacuated, change.evacuations()));
+        withEvacuations(evacuated, change.evacuations()),
+        coldEnds);
+  }
+
+  /** Returns this view as the successor of another one, at its arrival. */
+  FleetSnapshot arrivedAfter(FleetSnapshot before, Instant now) {
+    return new FleetSnapshot(
+        index,
+        configuration,
+        targets,
+        rollouts,
+        weights,
+        evacuated,
+        before.coldEnds.updated(targets.values(), now));
   }
 
   /** Returns the same view at a later index, at which nothing in it had changed. */
   FleetSnapshot advanced(long newIndex) {
-    return new FleetSnapshot(newIndex, configuration, targets, rollouts, weights, evacuated);
+    return new FleetSnapshot(
+        newIndex, configuration, targets, rollouts, weights, evacuated, coldEnds);
   }
 
   private static Map<String, TargetRecord> withTargets(
@@ -180,12 +201,22 @@
     return PlacementSnapshot.of(configuration, targets.values(), rollouts);
   }
 
-  /** Tells whether the view shows a live target just as it announces itself, sequence aside. */
-  public boolean shows(Announcement announcement) {
+  /** Returns until when targets are cold, by their ids. */
+  public Map<String, ColdEnd> coldEnds() {
+    return coldEnds.byTarget();
+  }
+
+  /**
+   * Tells whether the view shows a live target just as it announces itself, sequence aside.
+   *
+   * @param announcement its announcement, with the time for which it stays cold from now on
+   */
+  public boolean shows(Announcement announcement, Instant now) {
     TargetRecord record = targets.get(announcement.id());
     return record != null
         && !record.lapsed()
-        && AnnouncementOrder.hasSameContent(record.announcement(), announcement);
+        && AnnouncementOrder.hasSameContent(record.announcement(), announcement)
+        && coldEnds.shows(announcement, now);
   }
 
   /** Returns the engines that may take new work for a model version and adapter. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumwharf.relay.ColdBounds;
 import org.geraniumwharf.weights.ReplacedWeights;
 
 /**
@@ -27,6 +28,7 @@
  * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
  * @param evacuation time after which an ordered evacuation must be in force; empty to take no such
  *     orders
+ * @param coldBounds bounds of the requests to a cold target; empty to treat it like any other
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -47,6 +49,7 @@
     ReplacedWeights.Bounds replacedWeights,
     int heldRequests,
     Optional<Duration> evacuation,
+    Optional<ColdBounds> coldBounds,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -24,6 +24,7 @@
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
 import org.geraniumwharf.relay.CacheTransfers;
+import org.geraniumwharf.relay.ColdExclusion;
 import org.geraniumwharf.relay.EvacuationExclusion;
 import org.geraniumwharf.relay.FirstTokenEstimate;
 import org.geraniumwharf.relay.HoldPolicy;
@@ -91,9 +92,10 @@
     this.admission = admission;
     this.protocol = protocol;
     this.evacuation = evacuation;
+    PlacementRules standard = PlacementRules.standard(rules.dataCentre());
     this.placement =
         RelayPlacement.of(
-            PlacementRules.standard(rules.dataCentre()).with(evacuation).withLimit(weights));
+            standard.with(evacuation).with(new ColdExclusion(load.cold())).withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -118,6 +120,9 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
+    // Before the routing, so that no request finds a new process without knowing that it is cold.
+    holder.onChange((before, after) -> load.cold().replaceAnnounced(after.coldEnds()));
+    load.cold().replaceAnnounced(holder.current().coldEnds());
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     WeightsLimit weights = WeightsLimit.create(holder, rules.weights(), metrics, log);
     RelayState relay =
@@ -225,6 +230,7 @@
    * @param requestId request that the response answers
    */
   void recordNotice(RelayTarget target, TargetNotice notice, String requestId) {
+    load.cold().recordStated(target, notice.coldFor(), now());
     if (!load.recordNotice(target, notice, now())) {
       return;
     }
@@ -259,6 +265,19 @@
     return load.permits().take(target.id(), target.incarnation(), now);
   }
 
+  /** Counts a request about to be sent; false if the target is cold and must not get it now. */
+  boolean tryColdSend(RelayTarget target, ResolvedRequest request, Instant now) {
+    return load.cold().trySend(target, request.service(), now);
+  }
+
+  /**
+   * Returns when a request that finds only cold targets can be sent, behind those that are queued.
+   */
+  Instant expectedAtCold(ResolvedRequest request, Openings openings, Instant now) {
+    int ahead = queue(request).size();
+    return load.cold().expectedAt(openings.waitable(), request.service(), ahead, now);
+  }
+
   /** Records bytes of a target that belong to no response. */
   void recordUnexpectedBytes(UnexpectedBytesListener.UnexpectedBytes bytes) {
     metrics.unexpectedBytes(bytes.cause().wireName());
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/OrderDeliveryTest.java
@@ -91,6 +91,7 @@
         Optional.empty(),
         false,
         Optional.empty(),
+        0,
         0);
   }
 }
