--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/QueuedRequest.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/QueuedRequest.java
@@ -14,6 +14,12 @@
   /** Returns the position in the order of arrival. */
   long sequence();
 
+  /** Returns what is known of the request besides. */
+  RequestProfile profile();
+
+  /** Returns the time from which the request has been queued. */
+  Instant queuedAt();
+
   /** Returns the time at which the request is to leave the queue unserved. */
   Instant expiresAt();
 }
