--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ArrivalRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ArrivalRules.java
@@ -44,6 +44,11 @@
     return now.plus(maxWait(profile.deadline(), now));
   }
 
+  @Override
+  public Duration expectedResponse(RequestProfile profile) {
+    return Duration.ZERO;
+  }
+
   @Override
   public Duration expectedWait(
       QueuedRequest offered, Collection<? extends QueuedRequest> waiting, Instant now) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
@@ -134,6 +134,11 @@
     return now.plusMillis((long) Math.max(0, Math.min(latest, MAX_WAIT_MILLIS)));
   }
 
+  @Override
+  public Duration expectedResponse(RequestProfile profile) {
+    return Duration.ofMillis((long) responses.expectedMillis(profile));
+  }
+
   @Override
   public Duration expectedWait(
       QueuedRequest offered, Collection<? extends QueuedRequest> waiting, Instant now) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/QueueRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/QueueRules.java
@@ -17,6 +17,9 @@
   /** Returns the time until which a request may wait. */
   Instant latestDispatch(RequestProfile profile, Instant now);
 
+  /** Returns the time that a target is expected to take for the whole response. */
+  Duration expectedResponse(RequestProfile profile);
+
   /** Returns the time until a request is dispatched if it is offered now. */
   Duration expectedWait(
       QueuedRequest offered, Collection<? extends QueuedRequest> waiting, Instant now);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -71,10 +71,11 @@
    *
    * @param entry the queue entry; empty when the request was rejected
    * @param expectedWait expected time until the request is dequeued
+   * @param isFull whether the request was rejected because too many wait that go before it
    * @param displaced entries that were removed in favour of the request, and are to be refused
    */
   public record Admission<T>(
-      Optional<Entry<T>> entry, Duration expectedWait, List<Entry<T>> displaced) {}
+      Optional<Entry<T>> entry, Duration expectedWait, boolean isFull, List<Entry<T>> displaced) {}
 
   /**
    * Adds a request, or rejects it when its expected wait is longer than the longest wait allowed.
@@ -91,11 +92,11 @@
     Duration expected = rules.expectedWait(entry, entries, now);
     boolean isTooLate = now.plus(expected).isAfter(entry.expiresAt());
     if (isTooLate || !makeRoom(entry, now)) {
-      return new Admission<>(Optional.empty(), expected, List.of());
+      return new Admission<>(Optional.empty(), expected, !isTooLate, List.of());
     }
     nextSequence++;
     entries.add(entry);
-    return new Admission<>(Optional.of(entry), expected, removeDisplaced(entry, now));
+    return new Admission<>(Optional.of(entry), expected, false, removeDisplaced(entry, now));
   }
 
   private Entry<T> entry(T item, RequestProfile profile, Instant now) {
@@ -151,6 +152,11 @@
     return rules.latestDispatch(profile, now);
   }
 
+  /** Returns the time that a target is expected to take for the whole response. */
+  public synchronized Duration expectedResponse(RequestProfile profile) {
+    return rules.expectedResponse(profile);
+  }
+
   /** Returns the time until all requests that wait now have been dispatched. */
   public synchronized Duration drainTime(Instant now) {
     return rules.drainTime(entries, now);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
@@ -63,6 +63,23 @@
         isDisplaceable);
   }
 
+  /**
+   * Returns the profile of the rest of a response that has started, which is as urgent as a new
+   * one.
+   */
+  public RequestProfile resumedAt(Instant now, long goalMillis) {
+    return new RequestProfile(
+        organisation,
+        kind,
+        key,
+        priority,
+        size,
+        work,
+        now.plusMillis(goalMillis),
+        deadline,
+        isDisplaceable);
+  }
+
   /** Returns the profile of a request of which only its urgency and size are known. */
   static RequestProfile of(int priority, long size, Instant deadline) {
     return new RequestProfile("", "", "", priority, size, 1, deadline, deadline, false);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -80,6 +80,20 @@
     heldRequests.inc();
   }
 
+  /**
+   * Records a request that the queue refused.
+   *
+   * @param reason why it could not wait
+   */
+  public void queueRefused(String reason) {
+    registry.counter("queue_refused_total." + reason).inc();
+  }
+
+  /** Records the time that a request was queued before it was sent. */
+  public void queueWaited(String kind, Duration wait) {
+    registry.timer("queue_wait." + kind, DaemonMetrics::timer).update(wait);
+  }
+
   /**
    * Records that a caller disconnected while its request was in flight.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -56,6 +56,7 @@
             number("relay", "retry-reserve"),
             replacedWeights(),
             heldRequests(),
+            optionalFlag("relay", "fair-queue"),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -155,6 +156,11 @@
     return value.equals("true");
   }
 
+  /** Reads a flag; false without it. */
+  private boolean optionalFlag(String section, String key) {
+    return optional(section, key).isPresent() && flag(section, key);
+  }
+
   /** Reads a time above zero, or takes the default if it is missing. */
   private Duration optionalMillis(String section, String key, Duration absent) {
     if (optional(section, key).isEmpty()) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeEnd.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeEnd.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
-import org.geraniumwharf.relay.RetryAfter;
 
 /** Ends an exchange, once: with a response, with an error, or without either. */
 final class ExchangeEnd {
@@ -143,7 +142,7 @@
     reject(
         ServingErrors.overloaded(
             "every target of " + exchange.request().service().name() + " is busy",
-            RetryAfter.jitteredDelay(exchange.parsedRequest().id(), retryAfter, remaining)));
+            relay().overloadDelay(exchange.request(), retryAfter, remaining, relay().now())));
   }
 
   /** Refuses the request because it was rejected too often, or came too late. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Instant;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.logging.Event;
 
@@ -21,6 +22,9 @@
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay().load().recordSuccess(endedCall.target().id());
     relay().recordSound(exchange.request());
+    Instant now = relay().now();
+    relay().recordFirstResponse(exchange.request(), exchange.calls().sentAt(), now);
+    relay().recordResponse(exchange.request(), exchange.calls().sentAt(), now);
     if (exchange.calls().end(endedCall)) {
       exchange.end().finishWithResponse(head, body, "answered", endedCall);
     } else {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
@@ -33,6 +33,7 @@
     RelayState relay = exchange.relay();
     if (from.eventCount() == 1) {
       relay.load().recordFirstToken(from.run());
+      relay.recordFirstResponse(exchange.request(), exchange.calls().sentAt(), relay.now());
       from.estimate()
           .ifPresent(sent -> relay.recordFirstToken(exchange.request(), sent, relay.now()));
     }
@@ -72,6 +73,7 @@
     }
     if (isStarted) {
       relay.recordSound(exchange.request());
+      relay.recordResponse(exchange.request(), exchange.calls().sentAt(), relay.now());
       exchange.end().finish("answered", endedCall.target().id(), "");
       exchange.caller().endResponse();
     } else {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -7,9 +7,11 @@
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.limit.Permit;
+import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
+import org.geraniumwharf.relay.RequestProfile;
 import org.geraniumwharf.relay.ResolvedRequest;
 import org.geraniumwharf.relay.RetryAfter;
 
@@ -23,6 +25,9 @@
 
   private static final long QUEUE_RETRY_INTERVAL_MILLIS = 60;
 
+  /** Time by which a timer may be early by the clock of the decisions, which may be set back. */
+  private static final Duration TIMER_TOLERANCE = Duration.ofMillis(20);
+
   private final RelayExchange exchange;
   private Optional<RelayQueue.Entry<RelayExchange>> queueEntry = Optional.empty();
 
@@ -51,6 +56,48 @@
     }
   }
 
+  /** Dispatches the request again if it is queued and its last decision may be outdated. */
+  void dispatchIfOutdated() {
+    if (isQueued() && !isCurrent(relay().now())) {
+      dispatch();
+    }
+  }
+
+  /**
+   * Refuses the request, unless it was sent or has ended since another one displaced it.
+   *
+   * @param sequence position in the order of arrival that it had when it was displaced; a request
+   *     that was sent and queued again since has another one
+   */
+  void displaced(long sequence) {
+    if (!isQueued() || queueEntry.get().sequence() != sequence) {
+      return;
+    }
+    Instant now = relay().now();
+    RelayQueue<RelayExchange> queue = relay().queue(request());
+    relay()
+        .log()
+        .info(
+            Event.of("request-displaced")
+                .with("request", exchange.parsedRequest().id())
+                .with("kind", request().route().name())
+                .with("waitedMillis", waited(queueEntry.get(), now).toMillis())
+                .with("queued", queue.size()));
+    refuseOverloaded("displaced", Duration.ZERO, now);
+  }
+
+  /** A request that was sent before keeps its place, since its refusal could not be "not run". */
+  private RequestProfile profile(Instant now) {
+    RequestProfile profile = RequestProfile.of(request(), exchange.calls().sendCount() == 0);
+    return exchange.stream().isStarted()
+        ? profile.resumedAt(now, request().route().goalMillis())
+        : profile;
+  }
+
+  private static Duration waited(RelayQueue.Entry<RelayExchange> entry, Instant now) {
+    return Duration.between(entry.queuedAt(), now);
+  }
+
   /** Sends the request to a target, queues it or refuses it. */
   void dispatch() {
     Instant now = relay().now();
@@ -67,6 +114,7 @@
     }
     Optional<Permit> permit = choice.flatMap(chosen -> relay().takePermit(chosen.target(), now));
     if (permit.isPresent()) {
+      recordDispatched(queue, now);
       leaveQueue();
       exchange.calls().send(choice.get(), permit.get(), now);
     } else if (queueEntry.isEmpty()) {
@@ -76,6 +124,15 @@
     }
   }
 
+  private void recordDispatched(RelayQueue<RelayExchange> queue, Instant now) {
+    if (!relay().isQueueFair()) {
+      return;
+    }
+    queue.recordDispatched(profile(now), now);
+    queueEntry.ifPresent(
+        entry -> relay().metrics().queueWaited(request().route().name(), waited(entry, now)));
+  }
+
   /** Returns the error for a request that no target may get. */
   private Optional<ServingException> findRefusal(Instant now) {
     Optional<ServingException> quarantined = relay().findQuarantined(request(), now);
@@ -90,7 +147,7 @@
   /** Decides on a target; empty if the request has to wait behind others in any case. */
   private Optional<RelayPlacement.Decision> decide(RelayQueue<RelayExchange> queue, Instant now) {
     lastDecision = Optional.empty();
-    if (queueEntry.isEmpty() && queue.mustQueue(request().priority(), request().footprint())) {
+    if (queueEntry.isEmpty() && isHeldUp(queue, now)) {
       return Optional.empty();
     }
     // Read before the decision, which then has to be repeated after any change during it.
@@ -104,6 +161,10 @@
     return Optional.of(decision);
   }
 
+  private boolean isHeldUp(RelayQueue<RelayExchange> queue, Instant now) {
+    return queue.size() > 0 && queue.mustQueue(profile(now), now);
+  }
+
   // ---------------------------------------------------------------- the queue
 
   private void enqueue(RelayQueue<RelayExchange> queue, Instant now) {
@@ -117,17 +178,17 @@
                   .withRetryAfter(noTargetRetryAfter(now)));
       return;
     }
-    if (opensAt.get().isAfter(now.plus(RelayQueue.maxWait(request().deadline(), now)))) {
+    RequestProfile profile = profile(now);
+    if (opensAt.get().isAfter(queue.latestDispatch(profile, now))) {
       recordRefusedAtLimit(openings);
-      rejectOverloaded(Duration.between(now, opensAt.get()), now);
+      refuseOverloaded("closed", Duration.between(now, opensAt.get()), now);
       return;
     }
-    RelayQueue.Admission<RelayExchange> admission =
-        queue.offer(
-            exchange, request().priority(), request().footprint(), request().deadline(), now);
+    RelayQueue.Admission<RelayExchange> admission = queue.offer(exchange, profile, now);
+    admission.displaced().forEach(entry -> entry.item().displaced(entry.sequence()));
     queueEntry = admission.entry();
     if (queueEntry.isEmpty()) {
-      rejectOverloaded(admission.expectedWait(), now);
+      refuseOverloaded(admission.isFull() ? "full" : "too-late", admission.expectedWait(), now);
       return;
     }
     if (opensAt.get().isAfter(now)) {
@@ -144,7 +205,7 @@
     Optional<Instant> earliest = openings.earliestAt();
     if (earliest.filter(time -> time.isAfter(queued.expiresAt())).isPresent()) {
       recordRefusedAtLimit(openings);
-      rejectOverloaded(Duration.between(now, earliest.get()), now);
+      refuseOverloaded("closed", Duration.between(now, earliest.get()), now);
     }
   }
 
@@ -170,22 +231,40 @@
       return;
     }
     Instant now = relay().now();
-    boolean isCurrent =
-        lastDecision
-            .filter(last -> !last.mayDiffer(now, relay().changes(), relay().load().ends()))
-            .isPresent();
-    if (!isCurrent) {
-      dispatch();
+    if (!isCurrent(now)) {
+      dispatchInOrder(now);
     }
     scheduleRetry();
   }
 
+  private boolean isCurrent(Instant now) {
+    return lastDecision
+        .filter(last -> !last.mayDiffer(now, relay().changes(), relay().load().ends()))
+        .isPresent();
+  }
+
+  /** Dispatches the request, with a fair queue after those that go first. */
+  private void dispatchInOrder(Instant now) {
+    if (relay().isQueueFair()) {
+      relay().wakeOutdated(request(), now);
+      exchange.wakeIfOutdated();
+    } else {
+      dispatch();
+    }
+  }
+
   private void queueTimedOut() {
-    if (isQueued()) {
-      rejectOverloaded(QUEUE_TIMEOUT_RETRY_AFTER, relay().now());
+    if (isQueued() && !isQueuedAgain(relay().now())) {
+      refuseOverloaded("expired", QUEUE_TIMEOUT_RETRY_AFTER, relay().now());
     }
   }
 
+  /** Returns whether the time that is over is that of an earlier stay in the queue. */
+  private boolean isQueuedAgain(Instant now) {
+    return relay().isQueueFair()
+        && queueEntry.orElseThrow().expiresAt().isAfter(now.plus(TIMER_TOLERANCE));
+  }
+
   /** Leaves the queue if the request is in it. */
   void leaveQueue() {
     relay().load().permits().removeWaiting(exchange.parsedRequest().id());
@@ -195,7 +274,15 @@
 
   // ----------------------------------------------------------------- refusals
 
-  private void rejectOverloaded(Duration retryAfter, Instant now) {
+  /**
+   * Refuses the request.
+   *
+   * @param reason why it cannot wait, for the counter
+   */
+  private void refuseOverloaded(String reason, Duration retryAfter, Instant now) {
+    if (relay().isQueueFair()) {
+      relay().metrics().queueRefused(reason);
+    }
     exchange.end().rejectOverloaded(retryAfter, exchange.remaining(now));
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/HeldRequests.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/HeldRequests.java
@@ -107,8 +107,17 @@
                 .with("requests", held.size())
                 .with("bytes", heldBytes)
                 .with("longestMillis", Duration.between(oldest, now).toMillis()));
-    held.keySet().forEach(exchange -> starter.add(exchange::startHeld));
+    held.keySet().forEach(exchange -> start(exchange, now));
     held.clear();
     heldBytes = 0;
   }
+
+  /** With a fair queue, requests that missed their goal are started behind fresh ones. */
+  private void start(RelayExchange exchange, Instant now) {
+    if (relay.isQueueFair() && relay.isGoalMissed(exchange.parsedRequest(), now)) {
+      starter.addDeferred(exchange::startHeld);
+    } else {
+      starter.add(exchange::startHeld);
+    }
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -34,18 +34,20 @@
    * @param retryReserve retries that all instances together may send beyond that share
    * @param weights time after which no request may begin on replaced weights
    * @param hold which requests are held before the first confirmed view
+   * @param isQueueFair whether queued requests are ordered by fair shares and slack
    */
   public record Rules(
       String dataCentre,
       double retryShare,
       double retryReserve,
       ReplacedWeights.Bounds weights,
-      HoldPolicy hold) {
+      HoldPolicy hold,
+      boolean isQueueFair) {
 
     /** Rules that hold no request before the first confirmed view. */
     public Rules(
         String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
-      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none());
+      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none(), false);
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -195,6 +195,18 @@
     loop.execute(waiting::dispatchIfQueued);
   }
 
+  /** Dispatches the request again if it is queued and its last decision may be outdated. */
+  void wakeIfOutdated() {
+    loop.execute(waiting::dispatchIfOutdated);
+  }
+
+  /**
+   * Refuses the request, which another one displaced from the queue. May be called by any thread.
+   */
+  void displaced(long sequence) {
+    loop.execute(() -> waiting.displaced(sequence));
+  }
+
   /** Stops reading from the target while the connection of the caller is not writable. */
   void writabilityChanged(boolean isWritable) {
     calls.current().ifPresent(current -> current.setReading(isWritable));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -31,8 +31,11 @@
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
+import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTarget;
+import org.geraniumwharf.relay.RequestProfile;
 import org.geraniumwharf.relay.ResolvedRequest;
+import org.geraniumwharf.relay.RetryAfter;
 import org.geraniumwharf.relay.TargetNotice;
 import org.geraniumwharf.retry.RetryBudget;
 import org.geraniumwharf.schema.state.TargetRecord;
@@ -275,7 +278,62 @@
   }
 
   RelayQueue<RelayExchange> queue(ResolvedRequest request) {
-    return queues.computeIfAbsent(request.service().name(), name -> RelayQueue.create());
+    return queues.computeIfAbsent(
+        request.service().name(), name -> isQueueFair() ? RelayQueue.fair() : RelayQueue.create());
+  }
+
+  boolean isQueueFair() {
+    return rules.isQueueFair();
+  }
+
+  /** Returns whether the response to a request will be late even if it is sent now. */
+  boolean isGoalMissed(RelayRequest request, Instant now) {
+    return admission
+        .routing()
+        .table()
+        .route(request.host(), request.path())
+        .filter(route -> !now.isBefore(request.arrivedAt().plusMillis(route.goalMillis())))
+        .isPresent();
+  }
+
+  /**
+   * Returns the Retry-After of a request that is refused because the targets are busy.
+   *
+   * @param expected time after which capacity is expected
+   * @param remaining time until the deadline of the request
+   */
+  Duration overloadDelay(
+      ResolvedRequest request, Duration expected, Duration remaining, Instant now) {
+    String id = request.request().id();
+    if (!isQueueFair()) {
+      return RetryAfter.jitteredDelay(id, expected, remaining);
+    }
+    RequestProfile profile = RequestProfile.of(request, false);
+    RelayQueue<RelayExchange> queue = queue(request);
+    queue.recordRefused(profile, now);
+    Duration drain = queue.drainTime(now);
+    return RetryAfter.spreadDelay(
+        id,
+        drain.compareTo(expected) > 0 ? drain : expected,
+        remaining,
+        queue.expectedResponse(profile));
+  }
+
+  /** Learns from the first token or the response of a request that was sent at a time. */
+  void recordFirstResponse(ResolvedRequest request, Optional<Instant> sentAt, Instant now) {
+    if (isQueueFair() && sentAt.isPresent()) {
+      queue(request)
+          .recordFirstResponse(
+              RequestProfile.of(request, false), Duration.between(sentAt.get(), now));
+    }
+  }
+
+  /** Learns from the end of the response to a request that was sent at a time. */
+  void recordResponse(ResolvedRequest request, Optional<Instant> sentAt, Instant now) {
+    if (isQueueFair() && sentAt.isPresent()) {
+      queue(request)
+          .recordResponse(RequestProfile.of(request, false), Duration.between(sentAt.get(), now));
+    }
   }
 
   /** Returns this instance's share of the retry budget of a service. */
@@ -354,7 +412,7 @@
 
   /** Records that a request of a service ended, and wakes queued requests to use the free slot. */
   void requestEnded(ResolvedRequest request, Instant now) {
-    queue(request).recordEnded(now);
+    queue(request).recordEnded(RequestProfile.workOf(request), now);
     wakeQueued(request.service().name());
   }
 
@@ -371,4 +429,11 @@
       waiting.item().wakeFromQueue();
     }
   }
+
+  /** Wakes the first queued requests of a service whose last decision may be outdated. */
+  void wakeOutdated(ResolvedRequest request, Instant now) {
+    for (RelayQueue.Entry<RelayExchange> waiting : queue(request).first(MAX_WOKEN_REQUESTS, now)) {
+      waiting.item().wakeIfOutdated();
+    }
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RequestStarter.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RequestStarter.java
@@ -19,9 +19,15 @@
   /** Time of starts after which the connections are read again. */
   private static final Duration MAX_TIME_PER_PASS = Duration.ofMillis(20);
 
+  /** One in so many starts is a deferred one while there are others. */
+  private static final int STARTS_PER_DEFERRED = 4;
+
   private final ScheduledExecutorService loop;
   private final InstantSource clock;
+
   private final Deque<Runnable> starts = new ArrayDeque<>();
+  private final Deque<Runnable> deferred = new ArrayDeque<>();
+  private int startsUntilDeferred = STARTS_PER_DEFERRED;
   private final Runnable pass = this::runForOnePass;
   private boolean isScheduled;
 
@@ -33,6 +39,16 @@
   /** Adds the start of a request that was just read. */
   void add(Runnable start) {
     starts.add(start);
+    schedule();
+  }
+
+  /** Adds the start of a request that can only be served late, behind those that can be on time. */
+  void addDeferred(Runnable start) {
+    deferred.add(start);
+    schedule();
+  }
+
+  private void schedule() {
     if (!isScheduled) {
       isScheduled = true;
       loop.execute(pass);
@@ -43,16 +59,31 @@
     Instant end = clock.instant().plus(MAX_TIME_PER_PASS);
     try {
       do {
-        starts.remove().run();
-      } while (!starts.isEmpty() && clock.instant().isBefore(end));
+        next().run();
+      } while (isAnyLeft() && clock.instant().isBefore(end));
     } finally {
-      isScheduled = !starts.isEmpty();
+      isScheduled = isAnyLeft();
       if (isScheduled) {
         scheduleNextPass();
       }
     }
   }
 
+  private boolean isAnyLeft() {
+    return !starts.isEmpty() || !deferred.isEmpty();
+  }
+
+  private Runnable next() {
+    if (starts.isEmpty()) {
+      return deferred.remove();
+    }
+    if (!deferred.isEmpty() && --startsUntilDeferred <= 0) {
+      startsUntilDeferred = STARTS_PER_DEFERRED;
+      return deferred.remove();
+    }
+    return starts.remove();
+  }
+
   /** A timer that is due at once runs after the next reads, unlike a task. */
   private void scheduleNextPass() {
     var unused = loop.schedule(pass, 0, TimeUnit.NANOSECONDS);
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -68,6 +70,16 @@
     assertEquals(Duration.ofMillis(1501), settings.replacedWeights().inTotal());
   }
 
+  /** Guards against a deployment whose queue changes without a setting. */
+  @Test
+  void should_have_a_fair_queue_only_where_it_is_switched_on() throws Exception {
+    assertFalse(load("").isQueueFair());
+    assertFalse(load("fair-queue =\n").isQueueFair());
+    assertFalse(load("fair-queue = false\n").isQueueFair());
+    assertTrue(load("fair-queue = true\n").isQueueFair());
+    assertThrows(InvalidSettingsException.class, () -> load("fair-queue = yes\n"));
+  }
+
   private NodeSettings load(String relayLines) throws IOException, InvalidSettingsException {
     Path file = folder.resolve("node.ini");
     Files.writeString(
