--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RetryAfterTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RetryAfterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -40,4 +41,33 @@
 
     assertEquals(Duration.ofMillis(300), RetryAfter.jitteredDelay("request", EXPECTED, remaining));
   }
+
+  /** Guards against callers of a long backlog that all return at a third of their time. */
+  @Test
+  void should_spread_the_delays_where_the_time_of_the_callers_bounds_them() {
+    Duration remaining = Duration.ofMillis(900);
+    List<Long> delays =
+        IntStream.range(0, 200)
+            .mapToObj(i -> "request-" + i)
+            .map(id -> RetryAfter.spreadDelay(id, Duration.ofSeconds(9), remaining, Duration.ZERO))
+            .map(Duration::toMillis)
+            .toList();
+
+    assertTrue(delays.stream().allMatch(delay -> delay >= 150 && delay <= 300));
+    assertTrue(delays.stream().filter(delay -> delay < 225).count() > 60);
+    assertTrue(delays.stream().filter(delay -> delay >= 225).count() > 60);
+  }
+
+  @Test
+  void should_leave_the_caller_the_time_of_the_service() {
+    Duration remaining = Duration.ofMillis(300);
+    Duration service = Duration.ofMillis(280);
+
+    Duration delay = RetryAfter.spreadDelay("id", Duration.ofSeconds(9), remaining, service);
+
+    assertTrue(delay.toMillis() <= 20, delay.toString());
+    assertEquals(
+        Duration.ZERO,
+        RetryAfter.spreadDelay("id", Duration.ofSeconds(9), Duration.ofMillis(-5), service));
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -191,6 +191,9 @@
       refuseOverloaded(admission.isFull() ? "full" : "too-late", admission.expectedWait(), now);
       return;
     }
+    if (relay().isQueueFair()) {
+      logQueued(queue, admission.expectedWait());
+    }
     if (opensAt.get().isAfter(now)) {
       relay().load().addWaiting(openings.waitable(), exchange.parsedRequest().id(), now);
     }
@@ -199,6 +202,17 @@
     scheduleRetry();
   }
 
+  private void logQueued(RelayQueue<RelayExchange> queue, Duration expectedWait) {
+    relay()
+        .log()
+        .info(
+            Event.of("request-queued")
+                .with("request", exchange.parsedRequest().id())
+                .with("kind", request().route().name())
+                .with("expectedMillis", expectedWait.toMillis())
+                .with("queued", queue.size()));
+  }
+
   /** Rejects a queued request that no target will take before it has to leave the queue. */
   private void rejectIfTooLate(RelayQueue.Entry<RelayExchange> queued, Instant now) {
     Openings openings = relay().openings(request(), exchange.calls().triedTargets(), now);
