--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
@@ -12,8 +12,11 @@
  */
 final class FairRules implements QueueRules {
 
-  /** Longest wait, so that requests do not hold memory through a long overload. */
-  private static final double MAX_WAIT_MILLIS = 4000;
+  /**
+   * Longest wait. With 4 s, replays of an outage refuse twice as many requests after they waited;
+   * the memory is bounded by the number of requests.
+   */
+  private static final double MAX_WAIT_MILLIS = 8000;
 
   /** Time that a response needs besides that at its target, ms. */
   private static final double OVERHEAD_MILLIS = 10;
@@ -27,6 +30,9 @@
    */
   private static final double MAX_SERVICE_PART = 0.5;
 
+  /** Factor for the expected wait, since requests that arrive later may go before. */
+  private static final double WAIT_MARGIN = 1.5;
+
   /** A queue of more requests costs more processor time than their service is worth. */
   private static final int MAX_WAITING = 256;
 
@@ -51,6 +57,12 @@
   /** Ratio to the mean work of its kind from which a request counts as a large one. */
   private static final double LARGE_RATIO = 1.5;
 
+  /** Priorities beyond this are as urgent as this one for the expected wait. */
+  private static final int MAX_COUNTED_PRIORITY = 16;
+
+  /** Part of the recent work that counts as more urgent at most, so that no wait is infinite. */
+  private static final double MAX_URGENT_PART = 0.9;
+
   private final WorkRate rate = new WorkRate();
   private final ServiceTimes firstResponses = new ServiceTimes();
   private final ServiceTimes responses = new ServiceTimes();
@@ -58,6 +70,8 @@
   private final RecentCost keys = new RecentCost();
   private final ServedShares served = new ServedShares();
 
+  private final RecentCost priorities = new RecentCost();
+
   /** Work that requests that can no longer meet their goal may have dispatched before others. */
   private double lateCredit;
 
@@ -139,27 +153,41 @@
     return Duration.ofMillis((long) responses.expectedMillis(profile));
   }
 
+  /**
+   * Behind the work that goes first now comes the more urgent work that arrives meanwhile. While
+   * capacity is short, a request that will miss its goal also waits behind the others that did, and
+   * these get a part of the rate only.
+   */
   @Override
   public Duration expectedWait(
       QueuedRequest offered, Collection<? extends QueuedRequest> waiting, Instant now) {
-    rate.recordOffered(offered.profile().work());
+    RequestProfile profile = offered.profile();
+    rate.recordOffered(profile.work());
     FairOrder order = new FairOrder(this, waiting);
     Comparator<QueuedRequest> current = order.at(now);
-    double ahead = 0;
-    double late = 0;
+    double ahead = rate.meanWork();
+    double late = profile.work();
     for (QueuedRequest other : waiting) {
       double work = other.profile().work();
-      boolean isLate = slackMillis(other.profile(), now) < 0;
-      late += isLate ? work : 0;
+      late += slackMillis(other.profile(), now) < 0 ? work : 0;
       ahead += current.compare(other, offered) < 0 ? work : 0;
     }
     boolean isAny = !waiting.isEmpty();
-    double millis = rate.millis(ahead + rate.meanWork(), isAny, now);
-    boolean isLate = millis > slackMillis(offered.profile(), now);
+    double millis = rate.millis(ahead, isAny, now) / remainingPart(profile.priority());
+    boolean isLate = millis > slackMillis(profile, now);
     if (isLate && order.isCapacityShort(now)) {
       millis = Math.max(millis, rate.millis(late, isAny, now) / LATE_PART);
     }
-    return Duration.ofMillis((long) millis);
+    return Duration.ofMillis((long) (WAIT_MARGIN * millis));
+  }
+
+  /** Returns the part of the recent work that was not more urgent than a priority. */
+  private double remainingPart(int priority) {
+    double urgent = 0;
+    for (int more = 0; more < Math.min(priority, MAX_COUNTED_PRIORITY); more++) {
+      urgent += priorities.of(Integer.toString(more));
+    }
+    return 1 - MAX_URGENT_PART * urgent / Math.max(1, priorities.total());
   }
 
   @Override
@@ -204,6 +232,7 @@
     rate.recordOffered(profile.work());
     recordServed(profile, true, now);
     organisations.add(profile.organisation(), profile.work(), now);
+    priorities.add(Integer.toString(profile.priority()), profile.work(), now);
     if (!profile.key().isEmpty()) {
       keys.add(profile.key(), profile.work(), now);
     }
