--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueReplayTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueReplayTest.java
@@ -242,12 +242,21 @@
     Tally othersBefore = before.result(streams, others);
     Tally othersAfter = after.result(streams, others);
     print("one key, others", othersBefore, othersAfter);
+    Predicate<Stream> questions = others.and(kind("question"));
+    Tally questionsBefore = before.result(streams, questions);
+    Tally questionsAfter = after.result(streams, questions);
+    print("one key, questions", questionsBefore, questionsAfter);
     print(
         "one key, its requests",
         before.result(streams, others.negate()),
         after.result(streams, others.negate()));
 
     String figures = figures(othersBefore, othersAfter);
+    assertBetter(
+        3,
+        questionsBefore.inGoalShare(),
+        questionsAfter.inGoalShare(),
+        figures(questionsBefore, questionsAfter));
     assertBetter(2, othersBefore.inGoalShare(), othersAfter.inGoalShare(), figures);
     assertBetter(1.2, othersBefore.servedShare(), othersAfter.servedShare(), figures);
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
@@ -101,6 +101,35 @@
     assertEquals("small", order(NOW).get(0));
   }
 
+  /** Guards against requests with one key of many organisations, each within its share. */
+  @Test
+  void should_put_requests_with_a_key_of_much_recent_cost_last_when_capacity_is_short() {
+    for (int i = 0; i < 20; i++) {
+      queue.recordDispatched(withKey("hot", "org-" + i), NOW);
+      queue.recordDispatched(withKey("key-" + i, "org-" + i), NOW);
+    }
+    for (int i = 0; i < 10; i++) {
+      offer("hot", withKey("hot", "org-" + i));
+    }
+    offer("other", withKey("key-x", "org-0"));
+
+    assertEquals("other", order(NOW).get(0));
+  }
+
+  private static RequestProfile withKey(String key, String organisation) {
+    RequestProfile profile = request(organisation, 300, 100);
+    return new RequestProfile(
+        organisation,
+        profile.kind(),
+        key,
+        0,
+        profile.size(),
+        profile.work(),
+        profile.goalAt(),
+        profile.deadline(),
+        true);
+  }
+
   /** Guards against an organisation that gains by repeating refused requests. */
   @Test
   void should_charge_an_organisation_for_refused_attempts() {
