--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -410,9 +410,15 @@
     transfers.recordFirstToken(request, estimate, now);
   }
 
-  /** Records that a request of a service ended, and wakes queued requests to use the free slot. */
-  void requestEnded(ResolvedRequest request, Instant now) {
-    queue(request).recordEnded(RequestProfile.workOf(request), now);
+  /**
+   * Records that a request of a service ended, and wakes queued requests to use the free slot.
+   *
+   * @param isWorkDone whether a target worked on the request
+   */
+  void requestEnded(ResolvedRequest request, boolean isWorkDone, Instant now) {
+    if (isWorkDone || !isQueueFair()) {
+      queue(request).recordEnded(RequestProfile.workOf(request), now);
+    }
     wakeQueued(request.service().name());
   }
 
