Order requests of the same priority by that of their route

Cause: an organisation with a priority of its own made all of its kinds equally urgent in the queue.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairOrder.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairOrder.java
@@ -11,6 +11,7 @@
 final class FairOrder implements QueueOrder {
 
   private static final int MAX_PRIORITY = 10_000;
+  private static final int SUB_PRIORITIES = 100;
 
   /** Priority of requests of starved kinds, before all others. */
   private static final int STARVED_PRIORITY = -1;
@@ -105,7 +106,12 @@
   private int priority(RequestProfile profile) {
     return rules.isStarved(profile)
         ? STARVED_PRIORITY
-        : Math.max(0, Math.min(MAX_PRIORITY, profile.priority()));
+        : SUB_PRIORITIES * bounded(profile.priority(), MAX_PRIORITY)
+            + bounded(profile.subPriority(), SUB_PRIORITIES - 1);
+  }
+
+  private static int bounded(int value, int max) {
+    return Math.max(0, Math.min(max, value));
   }
 
   private static int slackClass(double slack) {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
@@ -11,6 +11,7 @@
  * @param kind name of the route
  * @param key last part of the prompt; empty without a prompt
  * @param priority 0 is the most urgent
+ * @param subPriority rank among requests of the same priority, 0 being the most urgent
  * @param size tokens that it occupies at a target
  * @param work expected work of the target; within {@link #MIN_WORK} and {@link #MAX_WORK}
  * @param goalAt time until which its response, or the first token, is on time
@@ -22,6 +23,7 @@
     String kind,
     String key,
     int priority,
+    int subPriority,
     long size,
     double work,
     Instant goalAt,
@@ -56,6 +58,7 @@
         resolved.route().name(),
         prompt.isEmpty() ? "" : prompt.get(prompt.size() - 1).id(),
         resolved.priority(),
+        resolved.subPriority(),
         resolved.footprint(),
         workOf(resolved),
         request.arrivedAt().plusMillis(resolved.route().goalMillis()),
@@ -73,6 +76,7 @@
         kind,
         key,
         priority,
+        subPriority,
         size,
         work,
         now.plusMillis(goalMillis),
@@ -82,7 +86,7 @@
 
   /** Returns the profile of a request of which only its urgency and size are known. */
   static RequestProfile of(int priority, long size, Instant deadline) {
-    return new RequestProfile("", "", "", priority, size, 1, deadline, deadline, false);
+    return new RequestProfile("", "", "", priority, 0, size, 1, deadline, deadline, false);
   }
 
   /** Returns the expected work of a request. */
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
@@ -27,6 +27,7 @@
         "kind-" + priority,
         "",
         priority,
+        0,
         Math.round(work),
         work,
         NOW.plusMillis(goalMillis),
@@ -59,6 +60,19 @@
     assertEquals(List.of("more urgent", "less urgent"), order(NOW));
   }
 
+  /** Guards against a priority of an organisation that makes all of its kinds equally urgent. */
+  @Test
+  void should_order_requests_of_the_same_priority_by_that_of_their_route() {
+    RequestProfile relaxed = request("one", 500, 100);
+    offer(
+        "less urgent route",
+        new RequestProfile(
+            "one", "b", "", 0, 2, 100, 100, relaxed.goalAt(), relaxed.deadline(), true));
+    offer("more urgent route", request("one", 3000, 100));
+
+    assertEquals(List.of("more urgent route", "less urgent route"), order(NOW));
+  }
+
   /** Guards against late requests that never leave the queue while fresh ones keep arriving. */
   @Test
   void should_give_late_requests_a_tenth_of_the_work() {
@@ -123,6 +137,7 @@
         profile.kind(),
         key,
         0,
+        0,
         profile.size(),
         profile.work(),
         profile.goalAt(),
@@ -167,6 +182,7 @@
         profile.kind(),
         "",
         profile.priority(),
+        profile.subPriority(),
         profile.size(),
         profile.work(),
         profile.goalAt(),
@@ -231,7 +247,8 @@
     }
     RequestProfile late = request("one", -100, 100);
     RequestProfile sent =
-        new RequestProfile("one", "kind-0", "", 0, 100, 100, late.goalAt(), late.deadline(), false);
+        new RequestProfile(
+            "one", "kind-0", "", 0, 0, 100, 100, late.goalAt(), late.deadline(), false);
     for (int i = 0; i < 256; i++) {
       offer("sent", sent);
     }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/QueueReplay.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/QueueReplay.java
@@ -75,6 +75,7 @@
           stream.kind(),
           stream.key(),
           stream.priority(),
+          0,
           Math.round(work),
           work,
           START.plusMillis(at + stream.goalMillis()),
