--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -29,6 +29,7 @@
  * @param evacuation time after which an ordered evacuation must be in force; empty to take no such
  *     orders
  * @param coldBounds bounds of the requests to a cold target; empty to treat it like any other
+ * @param isQueueFair whether queued requests are ordered by fair shares and slack
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -50,6 +51,7 @@
     int heldRequests,
     Optional<Duration> evacuation,
     Optional<ColdBounds> coldBounds,
+    boolean isQueueFair,
     Duration grace) {
 
   public NodeSettings {
