Ask targets whether they are cold while control is out of reach

An entry without contact to control does not learn which targets became cold and sent to them as before.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ColdTargets.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ColdTargets.java
@@ -79,6 +79,11 @@
    */
   public record Counts(long sent, long withheld) {}
 
+  /** Returns whether the requests to cold targets of a service are limited. */
+  public boolean isLimited(RelayService service) {
+    return bounds.isPresent() && service.cold().isPresent();
+  }
+
   /** Replaces the ends that the view shows, by the id of the target. */
   public void replaceAnnounced(Map<String, ColdEnd> ends) {
     announced = Map.copyOf(ends);
@@ -149,7 +154,7 @@
   /** Returns until when a target is cold; empty if it is warm or its service has no limit. */
   private Optional<Instant> coldUntil(RelayTarget target, RelayService service, Instant now) {
     boolean isNoneCold = announced.isEmpty() && stated.isEmpty();
-    if (isNoneCold || bounds.isEmpty() || service.cold().isEmpty()) {
+    if (isNoneCold || !isLimited(service)) {
       return Optional.empty();
     }
     ColdEnd none = new ColdEnd(target.incarnation(), Instant.MIN);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/BufferingHttpClient.java
@@ -56,8 +56,15 @@
    *
    * @param status HTTP status code
    * @param body body in an unpooled buffer
+   * @param notice what the server states about further requests
    */
-  public record Response(int status, ByteBuf body) {}
+  public record Response(int status, ByteBuf body, TargetNotice notice) {
+
+    /** A response that states nothing about further requests. */
+    public Response(int status, ByteBuf body) {
+      this(status, body, TargetNotice.none());
+    }
+  }
 
   /**
    * Decides whether a response is the answer to a request, and reads it.
@@ -191,6 +198,7 @@
     private final ByteBuf body = Unpooled.buffer(0);
 
     private int status;
+    private TargetNotice notice = TargetNotice.none();
 
     ResponseCollector(TargetConnection connection, Call<T> call) {
       this.connection = connection;
@@ -203,7 +211,8 @@
     }
 
     @Override
-    public void onHead(HttpResponse head, TargetResponse ignored) {
+    public void onHead(HttpResponse head, TargetResponse response) {
+      notice = response.notice();
       status = head.status().code();
     }
 
@@ -220,7 +229,7 @@
     @Override
     public void onComplete() {
       try {
-        T contents = call.reader().read(new Response(status, body));
+        T contents = call.reader().read(new Response(status, body, notice));
         if (call.isReusing()) {
           pool.release(call.address(), connection);
         } else {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.limit.Permit;
 import org.geraniumwharf.logging.Event;
@@ -92,6 +93,22 @@
     TargetCall next = new TargetCall(exchange, target, run, choice, permit);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay(), exchange.request(), sendCount + 1, choice, now);
+    CompletableFuture<Void> checked =
+        relay().checkCold(target, exchange.request(), exchange.loop(), now);
+    if (checked.isDone()) {
+      acquire(next);
+    } else {
+      var unused = checked.thenRun(() -> acquireIfCurrent(next));
+    }
+  }
+
+  private void acquireIfCurrent(TargetCall next) {
+    if (call.filter(current -> current == next).isPresent()) {
+      acquire(next);
+    }
+  }
+
+  private void acquire(TargetCall next) {
     pool()
         .acquire(
             addressOf(next),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -68,6 +69,7 @@
   private final Map<String, RelayQueue<RelayExchange>> queues = new ConcurrentHashMap<>();
   private final RelayTransfers transfers;
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
+  private final Map<EventLoop, ColdChecks> coldChecks = new ConcurrentHashMap<>();
   private final Map<TargetConnectionPool, CrashWatch> crashWatches = new ConcurrentHashMap<>();
 
   private RelayState(
@@ -241,6 +243,18 @@
     return load.permits().take(target.id(), target.incarnation(), now);
   }
 
+  /** Asks a target whether it is cold if the view may be too old to tell. */
+  CompletableFuture<Void> checkCold(
+      RelayTarget target, ResolvedRequest request, EventLoop loop, Instant now) {
+    return coldChecks
+        .computeIfAbsent(loop, this::newColdChecks)
+        .beforeSend(target, request.service(), admission.sinceViewConfirmed(now), now);
+  }
+
+  private ColdChecks newColdChecks(EventLoop loop) {
+    return new ColdChecks(BufferingHttpClient.create(loop, protocol, clock), load.cold(), clock);
+  }
+
   /** Counts a request about to be sent; false if the target is cold and must not get it now. */
   boolean tryColdSend(RelayTarget target, ResolvedRequest request, Instant now) {
     return load.cold().trySend(target, request.service(), now);
