Fill in the bounds of cold targets where tests and profiles use the template

The soak and the stand-in of review/ give each placeholder of deploy/node.ini a value and fail without one; the sources compile, the soak was not run.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledFleet.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/internal/profile/ProfiledFleet.java
@@ -99,6 +99,8 @@
     values.put("bounds.grace_s", "3");
     values.put("bounds.version_ms", "6000");
     values.put("bounds.version_all_ms", "8400");
+    values.put("bounds.cold_overage", "1.5");
+    values.put("bounds.cold_slack", "5");
     String settings =
         PLACEHOLDER
             .matcher(Files.readString(Path.of("deploy/node.ini")))
