Choose plain targets at random by expected free work, where costs are learned

Counts of the requests in flight are 150 to 300 ms old, several times the 43 ms of work that they count, so all instances chose the same of three plain targets until the next report, and each ejected a full target for 80 to 640 ms.

With [relay] learned-cost = true, targets are chosen with probabilities in proportion to expected free slots and speed; own requests count exactly, reported ones the less the older they are, and a refusal for about one response time. Absent, decisions are as before.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementRules.java
@@ -43,6 +43,29 @@
             LoadTerm.JITTER));
   }
 
+  /**
+   * Returns the rules of an instance whose load table {@linkplain RelayLoadTable#startLearning
+   * learns} speeds and costs.
+   *
+   * @param dataCentre data centre of the instance
+   */
+  public static PlacementRules learned(String dataCentre) {
+    return new PlacementRules(
+        List.of(
+            LoadExclusion.TRIED,
+            LoadExclusion.CLOSED,
+            LoadExclusion.EJECTED,
+            new LearnedCapacity(),
+            LoadExclusion.AT_LIMIT),
+        List.of(
+            new DistanceTerm(dataCentre),
+            LoadTerm.FIRST_TOKEN,
+            LoadTerm.BACKLOG,
+            LearnedTerm.IN_FLIGHT,
+            LoadTerm.MEMORY,
+            LearnedTerm.PLAIN));
+  }
+
   /** Returns these rules with one more exclusion. */
   public PlacementRules with(TargetExclusion exclusion) {
     List<TargetExclusion> more = new ArrayList<>(exclusions);
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -26,16 +26,21 @@
   /** Contexts of a service whose preferred targets are kept. */
   private static final int MAX_CONTEXTS = 1000;
 
+  /** Services whose response times are kept. */
+  private static final int MAX_SERVICES = 1000;
+
   private static final TargetWork NO_LOAD = TargetWork.of("", 0, 0, 0);
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
   private final PartIndex partIndex = new PartIndex();
+  private final Map<String, ResponseTimes> responses = new HashMap<>();
   private final TargetAvailability availability;
   private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
   private long changes;
   private long ends;
+  private boolean isLearning;
 
   private RelayLoadTable(TargetAvailability availability, TargetPermits permits) {
     this.availability = availability;
@@ -75,6 +80,7 @@
    * @param probeFrom time from which the target, if it is ejected, may get one request nevertheless
    * @param isIdle whether this instance has no request at the target
    * @param atLimit exclusion because the target has a limit and no request to it is permitted now
+   * @param learned what was learned of the target
    */
   public record Load(
       int inFlight,
@@ -86,7 +92,8 @@
       Optional<Exclusion> ejected,
       Instant probeFrom,
       boolean isIdle,
-      Optional<Exclusion> atLimit) {
+      Optional<Exclusion> atLimit,
+      LearnedLoad learned) {
 
     /** Returns whether the target, if it is ejected, may get one request nevertheless. */
     boolean mayBeProbed(Instant now) {
@@ -94,6 +101,11 @@
     }
   }
 
+  /** Starts to learn the speeds of targets and the costs of requests. */
+  public synchronized void startLearning() {
+    isLearning = true;
+  }
+
   /** Returns what this instance knows of the limits of targets. */
   public TargetPermits permits() {
     return permits;
@@ -209,6 +221,11 @@
       return group.hashes[index];
     }
 
+    private LearnedLoad learned(Entry entry, Instant now) {
+      double responseMillis = responses(query.request()).meanMillis();
+      return entry.learned.load(entry.inFlight, hasRemoteReport, responseMillis, now);
+    }
+
     /** Returns the load of the target with an index. */
     Load load(int index) {
       synchronized (RelayLoadTable.this) {
@@ -226,7 +243,8 @@
             entry.health.exclusion(now),
             entry.health.probeFrom(),
             entry.inFlight == 0,
-            isAnyLimited ? limitExclusion(target, now) : Optional.empty());
+            isAnyLimited ? limitExclusion(target, now) : Optional.empty(),
+            isLearning ? learned(entry, now) : LearnedLoad.NONE);
       }
     }
   }
@@ -258,6 +276,9 @@
     for (TargetWork load : work) {
       entry(load.target()).remote = load;
     }
+    if (isLearning) {
+      entries.values().forEach(entry -> entry.learned.recordReport(entry.remote.requests(), now));
+    }
     remoteLoadExpiresAt = now.plus(REMOTE_LOAD_VALIDITY);
     changes++;
   }
@@ -300,7 +321,54 @@
     sent.backlogMillis = 0;
   }
 
+  /**
+   * Records that a target did not execute a request. A plain target that is full is avoided for a
+   * moment; it is not ejected, since the other instances then fill the remaining targets.
+   *
+   * @param target target that refused the request, for which it still counts as in flight
+   */
+  public synchronized void recordRefusal(
+      RelayTarget target, ResolvedRequest resolved, Instant now) {
+    if (!isLearning || resolved.isGeneration()) {
+      recordRejection(target.id(), now);
+      return;
+    }
+    Entry entry = entry(target.id());
+    int slots = TargetCapacity.slots(resolved.service().engine(), target);
+    double responseMillis = responses(resolved).meanMillis();
+    int others = Math.max(0, slots - Math.max(0, entry.inFlight - 1));
+    if (entry.learned.recordRefusal(others, slots, responseMillis, now)) {
+      recordRejection(target.id(), now);
+    }
+  }
+
+  /** Records the time from the send of a plain request to its response. */
+  public synchronized void recordResponse(
+      String target, ResolvedRequest resolved, double millis, Instant now) {
+    if (!isLearning || resolved.isGeneration()) {
+      return;
+    }
+    ResponseTimes times = responses(resolved);
+    entry(target).learned.speed().record(millis / times.meanMillis(), now);
+    times.record(millis);
+  }
+
+  private ResponseTimes responses(ResolvedRequest resolved) {
+    String service = resolved.service().name();
+    ResponseTimes known = responses.get(service);
+    if (known != null) {
+      return known;
+    }
+    if (responses.size() >= MAX_SERVICES) {
+      responses.clear();
+    }
+    ResponseTimes created = new ResponseTimes();
+    responses.put(service, created);
+    return created;
+  }
+
   public synchronized void recordSuccess(String target) {
+    entry(target).learned.recordSuccess();
     if (entry(target).health.recordSuccess()) {
       changes++;
     }
@@ -401,6 +469,7 @@
 
     private final TargetHealth health = new TargetHealth();
     private final CachedParts parts;
+    private final LearnedTarget learned = new LearnedTarget();
     private TargetWork remote = NO_LOAD;
     private int inFlight;
     private long footprint;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetCapacity.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/TargetCapacity.java
@@ -52,9 +52,15 @@
     return hasFreeMemory(query, load, hasRemoteReport) ? Optional.empty() : MEMORY_OCCUPIED;
   }
 
-  private static int slots(PlacementQuery query, RelayTarget target) {
-    if (query.engine().isPresent()) {
-      return query.engine().get().slots();
+  /** Returns the requests that a target runs at a time. */
+  static int slots(PlacementQuery query, RelayTarget target) {
+    return slots(query.engine(), target);
+  }
+
+  /** Returns the requests that a target of a service runs at a time. */
+  static int slots(Optional<EngineCapacity> engine, RelayTarget target) {
+    if (engine.isPresent()) {
+      return engine.get().slots();
     }
     return target.slots() > 0 ? target.slots() : DEFAULT_SLOTS;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -320,7 +320,8 @@
             settings.retryShare(),
             settings.retryReserve(),
             settings.replacedWeights(),
-            HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())));
+            HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())),
+            settings.isCostLearned());
     Relay started =
         Relay.start(
             holder,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -25,6 +25,7 @@
  * @param retryReserve repeats of all instances together beyond that share
  * @param replacedWeights time after which no request may begin on replaced weights
  * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
+ * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -44,6 +45,7 @@
     double retryReserve,
     ReplacedWeights.Bounds replacedWeights,
     int heldRequests,
+    boolean isCostLearned,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -56,6 +56,7 @@
             number("relay", "retry-reserve"),
             replacedWeights(),
             heldRequests(),
+            optional("relay", "learned-cost").isPresent() && flag("relay", "learned-cost"),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
@@ -2,8 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Instant;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.relay.RelayTarget;
 
 /** Handles the result of each call of an exchange: returns it, or sends the request elsewhere. */
 final class ExchangeResults {
@@ -20,6 +23,15 @@
 
   void responseReceived(TargetCall endedCall, HttpResponse head, ByteBuf body) {
     relay().load().recordSuccess(endedCall.target().id());
+    Instant now = relay().now();
+    endedCall
+        .estimate()
+        .ifPresent(
+            sent ->
+                relay()
+                    .load()
+                    .recordResponse(
+                        endedCall.target().id(), exchange.request(), sent.elapsedMillis(now), now));
     relay().recordSound(exchange.request());
     if (exchange.calls().end(endedCall)) {
       exchange.end().finishWithResponse(head, body, "answered", endedCall);
@@ -61,7 +73,7 @@
                     exchange.calls().sendCount(),
                     result));
     if (!endedCall.isTurnedAway()) {
-      relay().load().recordRejection(endedCall.target().id(), relay().now());
+      recordRefusal(endedCall.target(), status);
     }
     if (!exchange.calls().end(endedCall)) {
       return;
@@ -73,6 +85,14 @@
     }
   }
 
+  private void recordRefusal(RelayTarget target, int status) {
+    if (status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()) {
+      relay().load().recordRefusal(target, exchange.request(), relay().now());
+    } else {
+      relay().load().recordRejection(target.id(), relay().now());
+    }
+  }
+
   void callFailed(TargetCall endedCall, String cause) {
     if (!endedCall.isTurnedAway()) {
       relay().load().recordFailure(endedCall.target().id(), relay().now());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -34,18 +34,20 @@
    * @param retryReserve retries that all instances together may send beyond that share
    * @param weights time after which no request may begin on replaced weights
    * @param hold which requests are held before the first confirmed view
+   * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
    */
   public record Rules(
       String dataCentre,
       double retryShare,
       double retryReserve,
       ReplacedWeights.Bounds weights,
-      HoldPolicy hold) {
+      HoldPolicy hold,
+      boolean isCostLearned) {
 
     /** Rules that hold no request before the first confirmed view. */
     public Rules(
         String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
-      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none());
+      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none(), false);
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -28,6 +28,7 @@
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.PlacementQuery;
+import org.geraniumwharf.relay.PlacementRules;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -86,7 +87,7 @@
     this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
-    this.placement = RelayPlacement.forDataCentre(rules.dataCentre()).withLimit(weights);
+    this.placement = RelayPlacement.of(placementRules(rules)).withLimit(weights);
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -111,6 +112,9 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
+    if (rules.isCostLearned()) {
+      load.startLearning();
+    }
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     WeightsLimit weights = WeightsLimit.create(holder, rules.weights(), metrics, log);
     RelayState relay =
@@ -136,6 +140,12 @@
     return relay;
   }
 
+  private static PlacementRules placementRules(Relay.Rules rules) {
+    return rules.isCostLearned()
+        ? PlacementRules.learned(rules.dataCentre())
+        : PlacementRules.standard(rules.dataCentre());
+  }
+
   RelayAdmission admission() {
     return admission;
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -1,7 +1,9 @@
 package org.geraniumwharf.internal.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -35,6 +37,14 @@
         settings.replacedWeights());
   }
 
+  @Test
+  void should_learn_costs_only_where_the_settings_say_so() throws Exception {
+    assertFalse(load("").isCostLearned());
+    assertFalse(load("learned-cost = false\n").isCostLearned());
+    assertTrue(load("learned-cost = true\n").isCostLearned());
+    assertThrows(InvalidSettingsException.class, () -> load("learned-cost = maybe\n"));
+  }
+
   @Test
   void should_refuse_a_bound_that_is_not_above_zero() {
     assertThrows(InvalidSettingsException.class, () -> load("replaced-weights-millis = 0\n"));
