Learn the speed of each target, and share it through the leader

Where costs are learned, each first token gives a sample of its target, each heartbeat carries the samples, and the leader returns the factors of unusual targets.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -152,6 +152,7 @@
             duties.liveEntryInstances(now),
             duties.updateLimitShares(heartbeat, now),
             duties.remoteLoad(heartbeat.daemon().name()),
+            duties.unusualSpeeds(now),
             duties.suspectedParts(),
             duties.quarantinedParts(),
             stores.changesSince(heartbeat.storePositions()),
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -17,6 +17,7 @@
 import org.geraniumwharf.quarantine.CrashLedger;
 import org.geraniumwharf.quarantine.QuarantineChange;
 import org.geraniumwharf.quarantine.QuarantineEvents;
+import org.geraniumwharf.relay.SharedSpeeds;
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
@@ -24,6 +25,7 @@
 import org.geraniumwharf.schema.messages.OrganisationShare;
 import org.geraniumwharf.schema.messages.PermitGrant;
 import org.geraniumwharf.schema.messages.TargetRenewal;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.state.AnnounceCommand;
 import org.geraniumwharf.schema.state.Command;
@@ -51,6 +53,7 @@
   private final Map<String, TargetLease> targetLeases = new HashMap<>();
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private final ReportedLoad reportedLoad = new ReportedLoad();
+  private final SharedSpeeds speeds = SharedSpeeds.create();
   private final PermitDuty permits;
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
@@ -71,6 +74,7 @@
     targetLeases.clear();
     daemonLeases.clear();
     reportedLoad.clear();
+    speeds.clear();
     permits.startLeadership();
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
@@ -90,6 +94,7 @@
     if (!isOlderIncarnation(call.daemon(), state, now)) {
       daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
       reportedLoad.replace(call.daemon().name(), call.targetWork());
+      speeds.record(call.targetSpeeds(), now);
     }
     recordCrashes(call, now);
     permits.receiveHeartbeat(call, now);
@@ -252,6 +257,10 @@
     nextPrune = now.plus(PRUNE_INTERVAL);
     limitShares.prune(now);
     permits.prune(state, now);
+    speeds.retainTargets(
+        state.targets().stream()
+            .map(record -> record.announcement().id())
+            .collect(Collectors.toSet()));
     PruneCommand prune =
         PruneCommand.of(
             now.minus(options.runRetention()).toEpochMilli(),
@@ -267,6 +276,11 @@
     return reportedLoad.allExcept(daemon);
   }
 
+  /** Returns the targets that are slower or faster than others, by the times of all daemons. */
+  List<TargetSpeed> unusualSpeeds(Instant now) {
+    return speeds.unusual(now);
+  }
+
   private void removeExpiredLoad(Instant now) {
     daemonLeases.forEach(
         (daemon, lease) -> {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
@@ -12,6 +12,7 @@
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.junit.jupiter.api.Test;
 
 class LeaderDutiesTest {
@@ -82,6 +83,20 @@
     assertEquals(List.of("bad"), duties.quarantinedParts());
   }
 
+  /** Guards against speeds of targets that a new leader takes from an earlier term of its own. */
+  @Test
+  void should_sum_up_the_speeds_that_daemons_report_and_forget_them_with_a_new_term() {
+    duties.startLeadership(state, NOW);
+    HeartbeatCall slow =
+        heartbeat(START).withTargetSpeeds(List.of(TargetSpeed.of("target-1", 30, 500)));
+    duties.receiveHeartbeat(slow, state, NOW);
+
+    assertEquals(
+        List.of("target-1"), duties.unusualSpeeds(NOW).stream().map(TargetSpeed::target).toList());
+    duties.startLeadership(state, NOW);
+    assertEquals(List.of(), duties.unusualSpeeds(NOW));
+  }
+
   private static HeartbeatCall crash(int target, String part, boolean isProven) {
     return heartbeat(START)
         .withCrashEvidence(
@@ -101,6 +116,7 @@
         List.of(),
         List.of(),
         List.of(),
+        List.of(),
         List.of());
   }
 
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -185,6 +185,7 @@
             List.of(),
             List.of(),
             List.of(),
+            List.of(),
             List.of()));
     return leader.tick(state, term, Duration.ZERO, () -> Set.of("daemon-1"), now);
   }
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -207,6 +207,7 @@
             List.of(),
             List.of(),
             List.of(),
+            List.of(),
             crashes,
             soundParts,
             List.of(),
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTerm.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTerm.java
@@ -35,6 +35,20 @@
     public double millis(PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
       return query.isGeneration() ? LoadTerm.IN_FLIGHT.millis(query, target, load) : 0;
     }
+  },
+
+  /** Time by which an engine that is slower than others is later. */
+  SLOWDOWN {
+    @Override
+    public double millis(PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
+      if (!query.isGeneration()) {
+        return 0;
+      }
+      double usual =
+          LoadTerm.FIRST_TOKEN.millis(query, target, load)
+              + LoadTerm.BACKLOG.millis(query, target, load);
+      return (load.learned().slowdown() - 1) * usual;
+    }
   };
 
   /** A target that is expected to be full gets this share of the requests of an idle one. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementRules.java
@@ -63,6 +63,7 @@
             LoadTerm.BACKLOG,
             LearnedTerm.IN_FLIGHT,
             LoadTerm.MEMORY,
+            LearnedTerm.SLOWDOWN,
             LearnedTerm.PLAIN));
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.geraniumwharf.limit.TargetPermits;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
@@ -34,10 +36,11 @@
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
   private final PartIndex partIndex = new PartIndex();
-  private final Map<String, ResponseTimes> responses = new HashMap<>();
+  private final Map<String, ServiceTimes> times = new HashMap<>();
   private final TargetAvailability availability;
   private final TargetPermits permits;
   private Instant remoteLoadExpiresAt = Instant.MIN;
+  private Instant sharedSpeedsExpireAt = Instant.MIN;
   private long changes;
   private long ends;
   private boolean isLearning;
@@ -222,8 +225,10 @@
     }
 
     private LearnedLoad learned(Entry entry, Instant now) {
-      double responseMillis = responses(query.request()).meanMillis();
-      return entry.learned.load(entry.inFlight, hasRemoteReport, responseMillis, now);
+      double responseMillis = times(query.request()).meanMillis();
+      boolean hasSharedSpeeds = now.isBefore(sharedSpeedsExpireAt);
+      return entry.learned.load(
+          entry.inFlight, hasRemoteReport, hasSharedSpeeds, responseMillis, now);
     }
 
     /** Returns the load of the target with an index. */
@@ -268,6 +273,37 @@
     return local;
   }
 
+  /** Returns the load of this instance as of a time, as it is reported to the other instances. */
+  public synchronized List<TargetWork> localLoad(Instant now) {
+    return localLoad();
+  }
+
+  /** Returns the times that this instance measured since the last report of them. */
+  public synchronized List<TargetSpeed> takeSpeeds(Instant now) {
+    List<TargetSpeed> speeds = new ArrayList<>();
+    if (isLearning) {
+      entries.forEach(
+          (target, entry) -> entry.learned.takeSpeed(target, now).ifPresent(speeds::add));
+    }
+    return speeds;
+  }
+
+  /**
+   * Replaces the speeds of targets by those that the leader has of all instances.
+   *
+   * @param speeds speeds of the targets that are slower or faster than others
+   */
+  public synchronized void setSharedSpeeds(List<TargetSpeed> speeds, Instant now) {
+    if (!isLearning) {
+      return;
+    }
+    entries.values().forEach(entry -> entry.learned.clearSharedSpeed());
+    for (TargetSpeed speed : speeds) {
+      entry(speed.target()).learned.setSharedSpeed(speed);
+    }
+    sharedSpeedsExpireAt = now.plus(REMOTE_LOAD_VALIDITY);
+  }
+
   /** Replaces the remote load by the sum that all other instances reported. */
   public synchronized void setRemoteLoad(List<TargetWork> work, Instant now) {
     for (Entry entry : entries.values()) {
@@ -305,6 +341,34 @@
     return sent;
   }
 
+  /** Records that a request is being sent to the target that was chosen for it. */
+  public synchronized InFlightRequest recordSent(
+      RelayPlacement.Choice choice, ResolvedRequest resolved, Instant now) {
+    InFlightRequest sent = recordSent(choice.target(), resolved, choice.firstTokenMillis());
+    if (isLearning && resolved.isGeneration()) {
+      sent.sentAt = now;
+      sent.service = times(resolved);
+      sent.backlogAheadMillis = choice.load().backlogMillis();
+      entry(sent.target).learned.recordSent(sent);
+    }
+    return sent;
+  }
+
+  /**
+   * Records the first token of a request, and learns the speed of its target from it.
+   *
+   * @return the time that was expected until it, ms; empty if none was
+   */
+  public synchronized OptionalDouble recordFirstToken(InFlightRequest sent, Instant now) {
+    OptionalDouble expected = OptionalDouble.empty();
+    if (isLearning && sent.isAwaited()) {
+      expected = OptionalDouble.of(sent.expectedMillis());
+      entry(sent.target).learned.recordFirstToken(sent, now);
+    }
+    recordFirstToken(sent);
+    return expected;
+  }
+
   /** Records the first token of a request, which is no longer part of the backlog from then on. */
   public synchronized void recordFirstToken(InFlightRequest sent) {
     entry(sent.target).backlogMillis -= sent.backlogMillis;
@@ -319,6 +383,9 @@
     entry.footprint -= sent.footprint;
     entry.backlogMillis -= sent.backlogMillis;
     sent.backlogMillis = 0;
+    if (sent.isAwaited()) {
+      entry.learned.recordGivenUp(sent);
+    }
   }
 
   /**
@@ -335,7 +402,7 @@
     }
     Entry entry = entry(target.id());
     int slots = TargetCapacity.slots(resolved.service().engine(), target);
-    double responseMillis = responses(resolved).meanMillis();
+    double responseMillis = times(resolved).meanMillis();
     int others = Math.max(0, slots - Math.max(0, entry.inFlight - 1));
     if (entry.learned.recordRefusal(others, slots, responseMillis, now)) {
       recordRejection(target.id(), now);
@@ -348,22 +415,22 @@
     if (!isLearning || resolved.isGeneration()) {
       return;
     }
-    ResponseTimes times = responses(resolved);
-    entry(target).learned.speed().record(millis / times.meanMillis(), now);
-    times.record(millis);
+    ServiceTimes service = times(resolved);
+    entry(target).learned.recordRatio(millis / service.meanMillis(), 1, now);
+    service.record(millis);
   }
 
-  private ResponseTimes responses(ResolvedRequest resolved) {
+  private ServiceTimes times(ResolvedRequest resolved) {
     String service = resolved.service().name();
-    ResponseTimes known = responses.get(service);
+    ServiceTimes known = times.get(service);
     if (known != null) {
       return known;
     }
-    if (responses.size() >= MAX_SERVICES) {
-      responses.clear();
+    if (times.size() >= MAX_SERVICES) {
+      times.clear();
     }
-    ResponseTimes created = new ResponseTimes();
-    responses.put(service, created);
+    ServiceTimes created = new ServiceTimes();
+    times.put(service, created);
     return created;
   }
 
@@ -457,12 +524,33 @@
     private final String target;
     private final long footprint;
     private long backlogMillis;
+    private Instant sentAt = Instant.MIN;
+    private ServiceTimes service;
+    private long backlogAheadMillis;
 
     private InFlightRequest(String target, long footprint, long backlogMillis) {
       this.target = target;
       this.footprint = footprint;
       this.backlogMillis = backlogMillis;
     }
+
+    /** Returns whether its first token is awaited, where costs are learned. */
+    private boolean isAwaited() {
+      return !sentAt.equals(Instant.MIN) && backlogMillis > 0;
+    }
+
+    ServiceTimes service() {
+      return service;
+    }
+
+    /** Returns the time to its first token at a target of usual speed, ms. */
+    double expectedMillis() {
+      return backlogAheadMillis + backlogMillis;
+    }
+
+    double elapsedMillis(Instant now) {
+      return Duration.between(sentAt, now).toNanos() / 1e6;
+    }
   }
 
   private static final class Entry {
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -72,6 +72,33 @@
     return generation(Optional.empty(), parts);
   }
 
+  /** Returns a generation of a route, with the most tokens that it may generate. */
+  static ResolvedRequest generation(
+      String route, String requestId, int outputTokens, PromptPart... parts) {
+    ResolvedRequest resolved = withRequestId(generation(parts), requestId);
+    RelayRequest request = resolved.request();
+    RelayRequest longer =
+        new RelayRequest(
+            requestId,
+            request.method(),
+            request.host(),
+            request.path(),
+            request.key(),
+            request.callerTimeout(),
+            request.model(),
+            request.prompt(),
+            request.promptTokens(),
+            outputTokens,
+            request.lastEventId(),
+            request.arrivedAt());
+    return new ResolvedRequest(
+        longer,
+        route(route, "/" + route + "/", Execution.STREAM, 0),
+        resolved.service(),
+        resolved.organisation(),
+        resolved.deadline());
+  }
+
   static ResolvedRequest generation(Optional<Organisation> owner, PromptPart... parts) {
     EngineCapacity engine = EngineCapacity.of(SLOTS, CACHE_TOKENS, 131_072, 260_000, List.of("m"));
     RelayService service = RelayService.of("engines", Optional.empty(), 300, Optional.of(engine));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -138,6 +138,7 @@
                   limiter.drainDemands(now),
                   work.demands(),
                   relayed,
+                  exchange.measuredSpeeds(now),
                   crashReport.crashes(),
                   crashReport.soundParts(),
                   crashReport.quarantinedParts(),
@@ -148,6 +149,7 @@
               now.plus(TIMEOUT));
       registrations.reported(report);
       exchange.others(answer.targetWork(), clock.instant());
+      exchange.speeds(answer.targetSpeeds(), clock.instant());
       crashes.answered(
           crashReport,
           new PartQuarantine.LeaderLists(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WorkExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/WorkExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /** Relayed work that daemons tell each other of, by way of the leader. */
@@ -13,6 +14,14 @@
   /** Takes the work of all other live daemons together. */
   void others(List<TargetWork> work, Instant now);
 
+  /** Returns the times of targets that were measured since this was asked last. */
+  default List<TargetSpeed> measuredSpeeds(Instant now) {
+    return List.of();
+  }
+
+  /** Takes the speeds of targets by the times that all live daemons measured. */
+  default void speeds(List<TargetSpeed> speeds, Instant now) {}
+
   /** Returns an exchange of a daemon that relays nothing. */
   static WorkExchange none() {
     return new WorkExchange() {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -58,6 +58,7 @@
 import org.geraniumwharf.relay.StoreChangeLog;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.PeerMessage;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /** One process of a relaying fleet: starts its parts in order and shuts them down gracefully. */
@@ -190,13 +191,23 @@
     return new WorkExchange() {
       @Override
       public List<TargetWork> own() {
-        return load.localLoad();
+        return load.localLoad(clock.instant());
       }
 
       @Override
       public void others(List<TargetWork> work, Instant now) {
         load.setRemoteLoad(work, now);
       }
+
+      @Override
+      public List<TargetSpeed> measuredSpeeds(Instant now) {
+        return load.takeSpeeds(now);
+      }
+
+      @Override
+      public void speeds(List<TargetSpeed> speeds, Instant now) {
+        load.setSharedSpeeds(speeds, now);
+      }
     };
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -87,8 +87,7 @@
   void send(RelayPlacement.Choice choice, Permit permit, Instant now) {
     RelayTarget target = choice.target();
     triedTargets.add(target.id());
-    RelayLoadTable.InFlightRequest run =
-        relay().load().recordSent(target, exchange.request(), choice.firstTokenMillis());
+    RelayLoadTable.InFlightRequest run = relay().load().recordSent(choice, exchange.request(), now);
     TargetCall next = new TargetCall(exchange, target, run, choice, permit);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay(), exchange.request(), sendCount + 1, choice, now);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import org.geraniumwharf.error.ServingErrors;
 
@@ -32,9 +33,9 @@
     }
     RelayState relay = exchange.relay();
     if (from.eventCount() == 1) {
-      relay.load().recordFirstToken(from.run());
-      from.estimate()
-          .ifPresent(sent -> relay.recordFirstToken(exchange.request(), sent, relay.now()));
+      Instant now = relay.now();
+      relay.load().recordFirstToken(from.run(), now);
+      from.estimate().ifPresent(sent -> relay.recordFirstToken(exchange.request(), sent, now));
     }
     if (isAlreadySent(event)) {
       return;
