--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTarget.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTarget.java
@@ -123,6 +123,9 @@
   private double slowdown(boolean hasSharedSpeeds, Instant now) {
     double log = hasSharedSpeeds ? sharedLog : speed.log(now);
     double factor = log == 0 ? 1 : Math.exp(log);
+    if (awaited.isEmpty()) {
+      return factor;
+    }
     double overdue = overdue(now);
     return overdue > MIN_OVERDUE ? Math.max(factor, overdue) : factor;
   }
@@ -184,15 +187,21 @@
     refusals = 0;
   }
 
+  /** Returns what is known of an engine. Nothing is created for one of usual speed. */
+  LearnedLoad engineLoad(boolean hasSharedSpeeds, Instant now) {
+    double slowdown = slowdown(hasSharedSpeeds, now);
+    return slowdown == 1 ? LearnedLoad.NONE : new LearnedLoad(0, 0, slowdown, Instant.MIN);
+  }
+
   /**
-   * Returns what is known of the target.
+   * Returns what is known of a plain target.
    *
    * @param own requests of this instance at the target
    * @param hasReport whether the last report is recent
    * @param hasSharedSpeeds whether the speeds that all instances measured are recent
    * @param responseMillis mean time of a response, ms, within which the requests change
    */
-  LearnedLoad load(
+  LearnedLoad plainLoad(
       int own, boolean hasReport, boolean hasSharedSpeeds, double responseMillis, Instant now) {
     double mean = hasReport ? meanReported : 0;
     double others = mean;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTerm.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/LearnedTerm.java
@@ -41,7 +41,7 @@
   SLOWDOWN {
     @Override
     public double millis(PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
-      if (!query.isGeneration()) {
+      if (!query.isGeneration() || load.learned().slowdown() == 1) {
         return 0;
       }
       double usual =
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -183,6 +183,7 @@
     private final PlacementQuery query;
     private final Group group;
     private final boolean hasRemoteReport;
+    private final boolean hasSharedSpeeds;
     private final boolean isAnyLimited;
     private final int[] cachedTokens;
 
@@ -190,6 +191,7 @@
       this.query = query;
       this.group = group;
       this.hasRemoteReport = query.now().isBefore(remoteLoadExpiresAt);
+      this.hasSharedSpeeds = query.now().isBefore(sharedSpeedsExpireAt);
       this.isAnyLimited = permits.isAnyLimited();
       this.cachedTokens = new int[group.entries.length];
       if (query.isGeneration() && cachedTokens.length > 0) {
@@ -225,9 +227,11 @@
     }
 
     private LearnedLoad learned(Entry entry, Instant now) {
+      if (query.isGeneration()) {
+        return entry.learned.engineLoad(hasSharedSpeeds, now);
+      }
       double responseMillis = times(query.request()).meanMillis();
-      boolean hasSharedSpeeds = now.isBefore(sharedSpeedsExpireAt);
-      return entry.learned.load(
+      return entry.learned.plainLoad(
           entry.inFlight, hasRemoteReport, hasSharedSpeeds, responseMillis, now);
     }
 
@@ -363,7 +367,7 @@
       RelayPlacement.Choice choice, ResolvedRequest resolved, Instant now) {
     InFlightRequest sent = recordSent(choice.target(), resolved, choice.firstTokenMillis());
     if (isLearning && resolved.isGeneration()) {
-      sent.sentAt = now;
+      sent.sentAtMillis = now.toEpochMilli();
       sent.service = times(resolved);
       sent.backlogAheadMillis = choice.load().backlogMillis();
       entry(sent.target).learned.recordSent(sent);
@@ -549,7 +553,9 @@
      */
     private static final double MAX_DONE = 0.8;
 
-    private Instant sentAt = Instant.MIN;
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private long sentAtMillis = NEVER;
     private ServiceTimes service;
     private long backlogAheadMillis;
 
@@ -561,7 +567,7 @@
 
     /** Returns whether its first token is awaited, where costs are learned. */
     private boolean isAwaited() {
-      return !sentAt.equals(Instant.MIN) && backlogMillis > 0;
+      return sentAtMillis != NEVER && backlogMillis > 0;
     }
 
     ServiceTimes service() {
@@ -580,7 +586,7 @@
     }
 
     double elapsedMillis(Instant now) {
-      return Duration.between(sentAt, now).toNanos() / 1e6;
+      return now.toEpochMilli() - sentAtMillis;
     }
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ServiceTimes.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ServiceTimes.java
@@ -13,11 +13,13 @@
 
   private static final double MIN_MILLIS = 1;
 
-  /** Step of the median of logarithms towards a sample. */
-  private static final double MEDIAN_STEP = 0.03;
+  /** Steps of the median of ratios towards a sample above and below it. */
+  private static final double UP = 1.03;
+
+  private static final double DOWN = 1 / UP;
 
   private double meanMillis = INITIAL_MILLIS;
-  private double medianLog;
+  private double median = 1;
 
   void record(double millis) {
     meanMillis = Math.max(MIN_MILLIS, meanMillis + STEP * (millis - meanMillis));
@@ -29,13 +31,13 @@
    */
   double recordRatio(double ratio) {
     double relative = relative(ratio);
-    medianLog += MEDIAN_STEP * Math.signum(relative - 1);
+    median *= relative > 1 ? UP : DOWN;
     return relative;
   }
 
   /** Returns a ratio of measured to expected times relative to the usual one. */
   double relative(double ratio) {
-    return ratio / Math.exp(medianLog);
+    return ratio / median;
   }
 
   /** Returns the mean time of the responses of a plain service, ms. */
