Merge placement by learned cost

Off unless [relay] learned-cost is true. The exclusions of evacuated data centres and of cold targets apply to both lists of rules. RequestTimes is the queue's class of times by kind, which had the name that the times of a service have now.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -18,6 +18,7 @@
 import org.geraniumwharf.quarantine.QuarantineChange;
 import org.geraniumwharf.quarantine.QuarantineEvents;
 import org.geraniumwharf.relay.EntryRanks;
+import org.geraniumwharf.relay.SharedSpeeds;
 import org.geraniumwharf.schema.messages.CrashEvidence;
 import org.geraniumwharf.schema.messages.DaemonStatus;
 import org.geraniumwharf.schema.messages.EntryRank;
@@ -26,6 +27,7 @@
 import org.geraniumwharf.schema.messages.OrganisationShare;
 import org.geraniumwharf.schema.messages.PermitGrant;
 import org.geraniumwharf.schema.messages.TargetRenewal;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.state.AnnounceCommand;
 import org.geraniumwharf.schema.state.Command;
@@ -53,6 +55,7 @@
   private final Map<String, TargetLease> targetLeases = new HashMap<>();
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private final ReportedLoad reportedLoad = new ReportedLoad();
+  private final SharedSpeeds speeds = SharedSpeeds.create();
   private final PermitDuty permits;
   private final ColdDuty cold;
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
@@ -76,6 +79,7 @@
     targetLeases.clear();
     daemonLeases.clear();
     reportedLoad.clear();
+    speeds.clear();
     permits.startLeadership();
     cold.startLeadership(state, now);
     ranks = EntryRanks.ofLeaderSince(now);
@@ -97,6 +101,7 @@
     if (!isOlderIncarnation(call.daemon(), state, now)) {
       daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
       reportedLoad.replace(call.daemon().name(), call.targetWork());
+      speeds.record(call.targetSpeeds(), now);
     }
     recordCrashes(call, now);
     permits.receiveHeartbeat(call, now);
@@ -305,6 +310,10 @@
     limitShares.prune(now);
     permits.prune(state, now);
     cold.prune(state, now);
+    speeds.retainTargets(
+        state.targets().stream()
+            .map(record -> record.announcement().id())
+            .collect(Collectors.toSet()));
     PruneCommand prune =
         PruneCommand.of(
             now.minus(options.runRetention()).toEpochMilli(),
@@ -320,6 +329,11 @@
     return reportedLoad.allExcept(daemon);
   }
 
+  /** Returns the targets that are slower or faster than others, by the times of all daemons. */
+  List<TargetSpeed> unusualSpeeds(Instant now) {
+    return speeds.unusual(now);
+  }
+
   private void removeExpiredLoad(Instant now) {
     daemonLeases.forEach(
         (daemon, lease) -> {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
@@ -103,6 +103,7 @@
         List.of(),
         List.of(),
         List.of(),
+        List.of(),
         List.of());
   }
 
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/EvacuateCallTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/EvacuateCallTest.java
@@ -140,6 +140,7 @@
             List.of(),
             List.of(),
             List.of(),
+            List.of(),
             List.of()));
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/FairRules.java
@@ -64,8 +64,8 @@
   private static final double MAX_URGENT_PART = 0.9;
 
   private final WorkRate rate = new WorkRate();
-  private final ServiceTimes firstResponses = new ServiceTimes();
-  private final ServiceTimes responses = new ServiceTimes();
+  private final RequestTimes firstResponses = new RequestTimes();
+  private final RequestTimes responses = new RequestTimes();
   private final RecentCost organisations = new RecentCost();
   private final RecentCost keys = new RecentCost();
   private final ServedShares served = new ServedShares();
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -9,8 +9,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.geraniumwharf.limit.TargetPermits;
+import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
 
 /**
@@ -26,17 +28,23 @@
   /** Contexts of a service whose preferred targets are kept. */
   private static final int MAX_CONTEXTS = 1000;
 
+  /** Services whose response times are kept. */
+  private static final int MAX_SERVICES = 1000;
+
   private static final TargetWork NO_LOAD = TargetWork.of("", 0, 0, 0);
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, Group> groups = new HashMap<>();
   private final PartIndex partIndex = new PartIndex();
+  private final Map<String, ServiceTimes> times = new HashMap<>();
   private final TargetAvailability availability;
   private final TargetPermits permits;
   private final ColdTargets cold;
   private Instant remoteLoadExpiresAt = Instant.MIN;
+  private Instant sharedSpeedsExpireAt = Instant.MIN;
   private long changes;
   private long ends;
+  private boolean isLearning;
 
   private RelayLoadTable(TargetAvailability availability, TargetPermits permits, ColdTargets cold) {
     this.availability = availability;
@@ -88,6 +96,7 @@
    * @param probeFrom time from which the target, if it is ejected, may get one request nevertheless
    * @param isIdle whether this instance has no request at the target
    * @param atLimit exclusion because the target has a limit and no request to it is permitted now
+   * @param learned what was learned of the target
    */
   public record Load(
       int inFlight,
@@ -99,7 +108,8 @@
       Optional<Exclusion> ejected,
       Instant probeFrom,
       boolean isIdle,
-      Optional<Exclusion> atLimit) {
+      Optional<Exclusion> atLimit,
+      LearnedLoad learned) {
 
     /** Returns whether the target, if it is ejected, may get one request nevertheless. */
     boolean mayBeProbed(Instant now) {
@@ -107,6 +117,11 @@
     }
   }
 
+  /** Starts to learn the speeds of targets and the costs of requests. */
+  public synchronized void startLearning() {
+    isLearning = true;
+  }
+
   /** Returns what this instance knows of the limits of targets. */
   public TargetPermits permits() {
     return permits;
@@ -186,6 +201,7 @@
     private final PlacementQuery query;
     private final Group group;
     private final boolean hasRemoteReport;
+    private final boolean hasSharedSpeeds;
     private final boolean isAnyLimited;
     private final int[] cachedTokens;
 
@@ -193,6 +209,7 @@
       this.query = query;
       this.group = group;
       this.hasRemoteReport = query.now().isBefore(remoteLoadExpiresAt);
+      this.hasSharedSpeeds = query.now().isBefore(sharedSpeedsExpireAt);
       this.isAnyLimited = permits.isAnyLimited();
       this.cachedTokens = new int[group.entries.length];
       if (query.isGeneration() && cachedTokens.length > 0) {
@@ -227,6 +244,15 @@
       return group.hashes[index];
     }
 
+    private LearnedLoad learned(Entry entry, Instant now) {
+      if (query.isGeneration()) {
+        return entry.learned.engineLoad(hasSharedSpeeds, now);
+      }
+      double responseMillis = times(query.request()).meanMillis();
+      return entry.learned.plainLoad(
+          entry.inFlight, hasRemoteReport, hasSharedSpeeds, responseMillis, now);
+    }
+
     /** Returns the load of the target with an index. */
     Load load(int index) {
       synchronized (RelayLoadTable.this) {
@@ -237,14 +263,15 @@
         return new Load(
             entry.inFlight + remote.requests(),
             entry.footprint + remote.tokens(),
-            entry.backlogMillis + remote.backlogMillis(),
+            backlogMillis(entry, now) + remote.backlogMillis(),
             hasRemoteReport,
             cachedTokens(index),
             availability.exclusion(target, entry.inFlight, now),
             entry.health.exclusion(now),
             entry.health.probeFrom(),
             entry.inFlight == 0,
-            isAnyLimited ? limitExclusion(target, now) : Optional.empty());
+            isAnyLimited ? limitExclusion(target, now) : Optional.empty(),
+            isLearning ? learned(entry, now) : LearnedLoad.NONE);
       }
     }
   }
@@ -268,6 +295,54 @@
     return local;
   }
 
+  /** Returns the load of this instance as of a time, as it is reported to the other instances. */
+  public synchronized List<TargetWork> localLoad(Instant now) {
+    List<TargetWork> local = new ArrayList<>();
+    entries.forEach(
+        (target, entry) -> {
+          if (entry.inFlight > 0) {
+            long backlogMillis = backlogMillis(entry, now);
+            local.add(TargetWork.of(target, entry.inFlight, entry.footprint, backlogMillis));
+          }
+        });
+    return local;
+  }
+
+  /** Returns the remaining work of this instance until each request has its first token, ms. */
+  private long backlogMillis(Entry entry, Instant now) {
+    if (!isLearning || entry.backlogMillis == 0) {
+      return entry.backlogMillis;
+    }
+    double done = entry.learned.doneMillis(now.isBefore(sharedSpeedsExpireAt), now);
+    return Math.max(0, Math.round(entry.backlogMillis - done));
+  }
+
+  /** Returns the times that this instance measured since the last report of them. */
+  public synchronized List<TargetSpeed> takeSpeeds(Instant now) {
+    List<TargetSpeed> speeds = new ArrayList<>();
+    if (isLearning) {
+      entries.forEach(
+          (target, entry) -> entry.learned.takeSpeed(target, now).ifPresent(speeds::add));
+    }
+    return speeds;
+  }
+
+  /**
+   * Replaces the speeds of targets by those that the leader has of all instances.
+   *
+   * @param speeds speeds of the targets that are slower or faster than others
+   */
+  public synchronized void setSharedSpeeds(List<TargetSpeed> speeds, Instant now) {
+    if (!isLearning) {
+      return;
+    }
+    entries.values().forEach(entry -> entry.learned.clearSharedSpeed());
+    for (TargetSpeed speed : speeds) {
+      entry(speed.target()).learned.setSharedSpeed(speed);
+    }
+    sharedSpeedsExpireAt = now.plus(REMOTE_LOAD_VALIDITY);
+  }
+
   /** Replaces the remote load by the sum that all other instances reported. */
   public synchronized void setRemoteLoad(List<TargetWork> work, Instant now) {
     for (Entry entry : entries.values()) {
@@ -276,6 +351,9 @@
     for (TargetWork load : work) {
       entry(load.target()).remote = load;
     }
+    if (isLearning) {
+      entries.values().forEach(entry -> entry.learned.recordReport(entry.remote.requests(), now));
+    }
     remoteLoadExpiresAt = now.plus(REMOTE_LOAD_VALIDITY);
     changes++;
   }
@@ -302,6 +380,34 @@
     return sent;
   }
 
+  /** Records that a request is being sent to the target that was chosen for it. */
+  public synchronized InFlightRequest recordSent(
+      RelayPlacement.Choice choice, ResolvedRequest resolved, Instant now) {
+    InFlightRequest sent = recordSent(choice.target(), resolved, choice.firstTokenMillis());
+    if (isLearning && resolved.isGeneration()) {
+      sent.sentAtMillis = now.toEpochMilli();
+      sent.service = times(resolved);
+      sent.backlogAheadMillis = choice.load().backlogMillis();
+      entry(sent.target).learned.recordSent(sent);
+    }
+    return sent;
+  }
+
+  /**
+   * Records the first token of a request, and learns the speed of its target from it.
+   *
+   * @return the time that was expected until it, ms; empty if none was
+   */
+  public synchronized OptionalDouble recordFirstToken(InFlightRequest sent, Instant now) {
+    OptionalDouble expected = OptionalDouble.empty();
+    if (isLearning && sent.isAwaited()) {
+      expected = OptionalDouble.of(sent.expectedMillis());
+      entry(sent.target).learned.recordFirstToken(sent, now);
+    }
+    recordFirstToken(sent);
+    return expected;
+  }
+
   /** Records the first token of a request, which is no longer part of the backlog from then on. */
   public synchronized void recordFirstToken(InFlightRequest sent) {
     entry(sent.target).backlogMillis -= sent.backlogMillis;
@@ -316,9 +422,59 @@
     entry.footprint -= sent.footprint;
     entry.backlogMillis -= sent.backlogMillis;
     sent.backlogMillis = 0;
+    if (sent.isAwaited()) {
+      entry.learned.recordGivenUp(sent);
+    }
+  }
+
+  /**
+   * Records that a target did not execute a request. A plain target that is full is avoided for a
+   * moment; it is not ejected, since the other instances then fill the remaining targets.
+   *
+   * @param target target that refused the request, for which it still counts as in flight
+   */
+  public synchronized void recordRefusal(
+      RelayTarget target, ResolvedRequest resolved, Instant now) {
+    if (!isLearning || resolved.isGeneration()) {
+      recordRejection(target.id(), now);
+      return;
+    }
+    Entry entry = entry(target.id());
+    int slots = TargetCapacity.slots(resolved.service().engine(), target);
+    double responseMillis = times(resolved).meanMillis();
+    int others = Math.max(0, slots - Math.max(0, entry.inFlight - 1));
+    if (entry.learned.recordRefusal(others, slots, responseMillis, now)) {
+      recordRejection(target.id(), now);
+    }
+  }
+
+  /** Records the time from the send of a plain request to its response. */
+  public synchronized void recordResponse(
+      String target, ResolvedRequest resolved, double millis, Instant now) {
+    if (!isLearning || resolved.isGeneration()) {
+      return;
+    }
+    ServiceTimes service = times(resolved);
+    entry(target).learned.recordRatio(millis / service.meanMillis(), 1, now);
+    service.record(millis);
+  }
+
+  private ServiceTimes times(ResolvedRequest resolved) {
+    String service = resolved.service().name();
+    ServiceTimes known = times.get(service);
+    if (known != null) {
+      return known;
+    }
+    if (times.size() >= MAX_SERVICES) {
+      times.clear();
+    }
+    ServiceTimes created = new ServiceTimes();
+    times.put(service, created);
+    return created;
   }
 
   public synchronized void recordSuccess(String target) {
+    entry(target).learned.recordSuccess();
     if (entry(target).health.recordSuccess()) {
       changes++;
     }
@@ -409,17 +565,55 @@
     private final long footprint;
     private long backlogMillis;
 
+    /**
+     * Share of its work that is counted as done at most while its first token is awaited. With 1,
+     * targets that are overdue looked idle and the replayed p99 after a slowdown was 15 to 45 %
+     * higher.
+     */
+    private static final double MAX_DONE = 0.8;
+
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private long sentAtMillis = NEVER;
+    private ServiceTimes service;
+    private long backlogAheadMillis;
+
     private InFlightRequest(String target, long footprint, long backlogMillis) {
       this.target = target;
       this.footprint = footprint;
       this.backlogMillis = backlogMillis;
     }
+
+    /** Returns whether its first token is awaited, where costs are learned. */
+    private boolean isAwaited() {
+      return sentAtMillis != NEVER && backlogMillis > 0;
+    }
+
+    ServiceTimes service() {
+      return service;
+    }
+
+    /** Returns the time to its first token at a target of usual speed, ms. */
+    double expectedMillis() {
+      return backlogAheadMillis + backlogMillis;
+    }
+
+    /** Returns the part of its own work that its target has probably done, ms. */
+    double doneMillis(double slowdown, Instant now) {
+      double done = elapsedMillis(now) / slowdown - backlogAheadMillis;
+      return Math.max(0, Math.min(MAX_DONE * backlogMillis, done));
+    }
+
+    double elapsedMillis(Instant now) {
+      return now.toEpochMilli() - sentAtMillis;
+    }
   }
 
   private static final class Entry {
 
     private final TargetHealth health = new TargetHealth();
     private final CachedParts parts;
+    private final LearnedTarget learned = new LearnedTarget();
     private TargetWork remote = NO_LOAD;
     private int inFlight;
     private long footprint;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ServiceTimes.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ServiceTimes.java
@@ -1,69 +1,47 @@
 package org.geraniumwharf.relay;
 
-import java.util.HashMap;
-import java.util.Map;
-
-/** Time that targets take for a request, by kind and work. Not thread-safe. */
+/**
+ * Times of a service, to which those of its targets are compared. Not safe for use by several
+ * threads.
+ */
 final class ServiceTimes {
 
-  /** Time for a request of any kind without observations, ms. */
-  private static final double INITIAL_MILLIS = 40;
-
-  /** Time for a unit of work without observations, ms. */
-  private static final double INITIAL_MILLIS_PER_WORK = 1 / 64.0;
+  private static final double INITIAL_MILLIS = 60;
 
-  /** Weight of the newest observation. */
-  private static final double SMOOTHING_FACTOR = 0.1;
+  /** Share of one response in the mean. */
+  private static final double STEP = 0.05;
 
-  /** Part of the time that grows with the work of a request. */
-  private static final double WORK_PART = 0.5;
+  private static final double MIN_MILLIS = 1;
 
-  /** Greatest ratio of the work of a request to that of its kind that is taken into account. */
-  private static final double MAX_WORK_RATIO = 8;
+  /** Steps of the median of ratios towards a sample above and below it. */
+  private static final double UP = 1.03;
 
-  /** Kinds are configured, so that there are few; more than this would be a fault elsewhere. */
-  private static final int MAX_KINDS = 512;
-
-  private static final class Mean {
-    private double work;
-    private double millis;
-  }
+  private static final double DOWN = 1 / UP;
 
-  private final Map<String, Mean> kinds = new HashMap<>();
+  private double meanMillis = INITIAL_MILLIS;
+  private double median = 1;
 
-  void record(RequestProfile profile, double millis) {
-    double observed = Math.max(0, millis);
-    Mean mean = kinds.get(profile.kind());
-    if (mean == null) {
-      if (kinds.size() >= MAX_KINDS) {
-        kinds.clear();
-      }
-      mean = new Mean();
-      mean.work = profile.work();
-      mean.millis = observed;
-      kinds.put(profile.kind(), mean);
-      return;
-    }
-    mean.work += SMOOTHING_FACTOR * (profile.work() - mean.work);
-    mean.millis += SMOOTHING_FACTOR * (observed - mean.millis);
+  void record(double millis) {
+    meanMillis = Math.max(MIN_MILLIS, meanMillis + STEP * (millis - meanMillis));
   }
 
-  /** Returns the expected time for a request, ms. */
-  double expectedMillis(RequestProfile profile) {
-    Mean mean = kinds.get(profile.kind());
-    if (mean == null) {
-      return INITIAL_MILLIS + INITIAL_MILLIS_PER_WORK * profile.work();
-    }
-    return mean.millis * (1 - WORK_PART + WORK_PART * workRatio(mean, profile));
+  /**
+   * Records the ratio of the measured to the expected time to a first token, and returns it
+   * relative to the usual ratio.
+   */
+  double recordRatio(double ratio) {
+    double relative = relative(ratio);
+    median *= relative > 1 ? UP : DOWN;
+    return relative;
   }
 
-  private static double workRatio(Mean mean, RequestProfile profile) {
-    return Math.min(MAX_WORK_RATIO, profile.work() / mean.work);
+  /** Returns a ratio of measured to expected times relative to the usual one. */
+  double relative(double ratio) {
+    return ratio / median;
   }
 
-  /** Returns whether a request is much larger than others of its kind. */
-  boolean isLarge(RequestProfile profile, double ratio) {
-    Mean mean = kinds.get(profile.kind());
-    return mean != null && profile.work() > ratio * mean.work;
+  /** Returns the mean time of the responses of a plain service, ms. */
+  double meanMillis() {
+    return meanMillis;
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -30,6 +30,7 @@
  *     orders
  * @param coldBounds bounds of the requests to a cold target; empty to treat it like any other
  * @param isQueueFair whether queued requests are ordered by fair shares and slack
+ * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -52,6 +53,7 @@
     Optional<Duration> evacuation,
     Optional<ColdBounds> coldBounds,
     boolean isQueueFair,
+    boolean isCostLearned,
     Duration grace) {
 
   public NodeSettings {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -77,6 +77,14 @@
     return sentAt;
   }
 
+  /** Returns the expected time from the last send of a generation to its first token, ms. */
+  Optional<Long> expectedMillis() {
+    return lastSent
+        .filter(sent -> exchange.request().isGeneration())
+        .flatMap(sent -> sent.call().estimate())
+        .map(estimate -> Math.round(estimate.choice().costMillis()));
+  }
+
   /** Returns what the target that the request was last sent to gave as an answer. */
   Optional<ExchangeLog.TargetResult> lastResult() {
     return lastSent.map(sent -> sent.result(relay().protocol()));
@@ -90,8 +98,7 @@
   void send(RelayPlacement.Choice choice, Permit permit, Instant now) {
     RelayTarget target = choice.target();
     triedTargets.add(target.id());
-    RelayLoadTable.InFlightRequest run =
-        relay().load().recordSent(target, exchange.request(), choice.firstTokenMillis());
+    RelayLoadTable.InFlightRequest run = relay().load().recordSent(choice, exchange.request(), now);
     TargetCall next = new TargetCall(exchange, target, run, choice, permit);
     call = Optional.of(next);
     ExchangeLog.logDecision(relay(), exchange.request(), sendCount + 1, choice, now);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -35,6 +35,7 @@
    * @param weights time after which no request may begin on replaced weights
    * @param hold which requests are held before the first confirmed view
    * @param isQueueFair whether queued requests are ordered by fair shares and slack
+   * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
    */
   public record Rules(
       String dataCentre,
@@ -42,12 +43,13 @@
       double retryReserve,
       ReplacedWeights.Bounds weights,
       HoldPolicy hold,
-      boolean isQueueFair) {
+      boolean isQueueFair,
+      boolean isCostLearned) {
 
     /** Rules that hold no request before the first confirmed view. */
     public Rules(
         String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
-      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none(), false);
+      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none(), false, false);
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -97,10 +97,12 @@
     this.admission = admission;
     this.protocol = protocol;
     this.evacuation = evacuation;
-    PlacementRules standard = PlacementRules.standard(rules.dataCentre());
     this.placement =
         RelayPlacement.of(
-            standard.with(evacuation).with(new ColdExclusion(load.cold())).withLimit(weights));
+            placementRules(rules)
+                .with(evacuation)
+                .with(new ColdExclusion(load.cold()))
+                .withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -128,6 +130,9 @@
     // Before the routing, so that no request finds a new process without knowing that it is cold.
     holder.onChange((before, after) -> load.cold().replaceAnnounced(after.coldEnds()));
     load.cold().replaceAnnounced(holder.current().coldEnds());
+    if (rules.isCostLearned()) {
+      load.startLearning();
+    }
     RelayAdmission admission = RelayAdmission.create(holder, readiness, log);
     WeightsLimit weights = WeightsLimit.create(holder, rules.weights(), metrics, log);
     RelayState relay =
@@ -154,6 +159,12 @@
     return relay;
   }
 
+  private static PlacementRules placementRules(Relay.Rules rules) {
+    return rules.isCostLearned()
+        ? PlacementRules.learned(rules.dataCentre())
+        : PlacementRules.standard(rules.dataCentre());
+  }
+
   RelayAdmission admission() {
     return admission;
   }
