Keep the processor profile with the platform

LayeringTest failed: the stand-ins of the processor profile in the bench module and a header of TargetResponseDecoderTest contained names that only the platform may know. The decoder test uses X-Note; its checks are unchanged.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/LoadTool.java
@@ -3,8 +3,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import java.util.List;
-import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
@@ -12,8 +10,6 @@
 import org.geraniumwharf.internal.bench.ControlMeasurements;
 import org.geraniumwharf.internal.bench.Experiments;
 import org.geraniumwharf.internal.bench.ReplayMeasurements;
-import org.geraniumwharf.internal.profile.ProcessorProfile;
-import org.geraniumwharf.internal.profile.ProfileOptions;
 
 /**
  * The program behind {@code scripts/bench}.
@@ -24,8 +20,6 @@
  * load-tool control --fleet DIR/fleet.env
  * load-tool targets|organisations --fleet DIR/fleet.env --count N
  * load-tool replay
- * load-tool processor [--controls N] [--entries N] [--engines N] [--rate R] [--events N] [--load S]
- *     [--rest S] [--machine "OPTIONS"] [--compared "OPTIONS"] [--sampled]
  * }</pre>
  */
 public final class LoadTool {
@@ -38,18 +32,7 @@
           .addOption(null, "policy", true, "routing policy that the fleet was started with")
           .addOption(null, "fleet", true, "fleet.env of the fleet")
           .addOption(null, "count", true, "how many targets or organisations")
-          .addOption(null, "results", true, "file of results")
-          .addOption(null, "controls", true, "control instances")
-          .addOption(null, "entries", true, "entry instances")
-          .addOption(null, "engines", true, "stand-in engines")
-          .addOption(null, "rate", true, "requests a second to each entry instance")
-          .addOption(null, "events", true, "most events of a stream")
-          .addOption(null, "load", true, "seconds under load")
-          .addOption(null, "rest", true, "seconds without load")
-          .addOption(null, "machine", true, "further options of the virtual machines")
-          .addOption(
-              null, "compared", true, "options of the further entry instances, separated by |")
-          .addOption(null, "sampled", false, "sample stacks, which costs time itself");
+          .addOption(null, "results", true, "file of results");
 
   private LoadTool() {}
 
@@ -90,39 +73,10 @@
       case "organisations" ->
           output.print(ControlMeasurements.ofOrganisations(path(line, "fleet"), count(line)));
       case "replay" -> output.print(ReplayMeasurements.run());
-      case "processor" -> ProcessorProfile.run(profileOptions(line), output);
       default -> throw new ParseException("unknown command");
     }
   }
 
-  private static ProfileOptions profileOptions(CommandLine line) {
-    return new ProfileOptions(
-        number(line, "controls", 3),
-        number(line, "entries", 2),
-        number(line, "engines", 98),
-        number(line, "rate", 30),
-        number(line, "events", 40),
-        number(line, "load", 40),
-        number(line, "rest", 20),
-        words(line.getOptionValue("machine", "")),
-        compared(line),
-        line.hasOption("sampled"));
-  }
-
-  private static List<List<String>> compared(CommandLine line) {
-    return line.hasOption("compared")
-        ? Stream.of(line.getOptionValue("compared").split("\\|")).map(LoadTool::words).toList()
-        : List.of();
-  }
-
-  private static List<String> words(String text) {
-    return Stream.of(text.split(" ")).filter(word -> !word.isEmpty()).toList();
-  }
-
-  private static int number(CommandLine line, String option, int absent) {
-    return Integer.parseInt(line.getOptionValue(option, String.valueOf(absent)));
-  }
-
   private static Path path(CommandLine line, String option) throws ParseException {
     return Path.of(required(line, option));
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/TargetResponseDecoderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/TargetResponseDecoderTest.java
@@ -34,7 +34,7 @@
   void should_find_a_status_line_with_any_code_in_a_header(String header, boolean isJoined) {
     EmbeddedChannel channel = new EmbeddedChannel(new TargetResponseDecoder());
     String text =
-        "HTTP/1.1 503 Answer\r\nX-Not-Executed: 1\r\n"
+        "HTTP/1.1 503 Answer\r\nX-Note: 1\r\n"
             + header
             + "\r\nX-Request-Id: e3c3-19\r\nContent-Length: 0\r\n\r\n";
 
