Keep requests and their KV cache within allowed regions

Routes and organisations had no way to restrict where their requests are served.

A route and an organisation of the manifest may have allowed_regions. A request is sent only to targets whose data centre is in a region that all of its lists allow (exclusion REGION_NOT_ALLOWED at placement, and a check immediately before the send), and its KV cache is saved to and fetched from no other store. Lists without a common region are refused with 403 region-not-allowed, and a request without a live target in an allowed region with 503 and a Retry-After, both before they are queued. A data centre whose region is not stated by [node] region or [data-centres] is not allowed for a request with a list.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
@@ -93,7 +93,8 @@
             600,
             Optional.empty(),
             0,
-            2);
+            2,
+            List.of());
     return new ResolvedRequest(request, route, service, Optional.empty(), NOW.plusSeconds(8));
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ErrorKind.java
@@ -24,6 +24,11 @@
       ErrorType.PERMISSION,
       "The organisation may not use this route.",
       "Ask an operator to add the route to the organisation."),
+  REGION_NOT_ALLOWED(
+      403,
+      ErrorType.PERMISSION,
+      "The route and the organisation have no allowed region in common.",
+      "Ask an operator to change the allowed regions of the route or of the organisation."),
   UNKNOWN_ROUTE(
       404,
       ErrorType.INVALID_REQUEST,
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/error/ServingErrors.java
@@ -108,6 +108,25 @@
         .withRetryAfter(SHORT_RETRY_AFTER);
   }
 
+  /** Returns the error for a request whose route and organisation have no region in common. */
+  public static ServingException noRegionAllowed(String route, String organisation) {
+    return notRun(
+        ErrorKind.REGION_NOT_ALLOWED,
+        "route "
+            + route
+            + " and organisation "
+            + organisation
+            + " have no allowed region in common");
+  }
+
+  /** Returns the error for a request that no target in an allowed region can serve. */
+  public static ServingException noTargetInRegion(String service) {
+    return notRun(
+            ErrorKind.NO_TARGET,
+            "no live target of " + service + " is in a region in which the request may be served")
+        .withRetryAfter(SHORT_RETRY_AFTER);
+  }
+
   /** Returns the error for a service whose targets have only weights replaced too long ago. */
   public static ServingException weightsOverdue(String service) {
     return notRun(
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitShareAllocatorTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitShareAllocatorTest.java
@@ -26,7 +26,8 @@
           Optional.of(OrganisationLimits.of(LIMIT, 1_000_000, 10_000)),
           List.of(),
           Optional.empty(),
-          false);
+          false,
+          List.of());
 
   private final LimitShareAllocator shares = LimitShareAllocator.create();
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesSimulation.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/LimitSharesSimulation.java
@@ -34,7 +34,8 @@
           Optional.of(OrganisationLimits.of(REQUESTS_PER_SECOND, 1_000_000, 1000)),
           List.of(),
           Optional.empty(),
-          false);
+          false,
+          List.of());
 
   private final Random random;
   private final Faults faults;
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/OrganisationLimiterTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/admission/OrganisationLimiterTest.java
@@ -25,7 +25,8 @@
           Optional.of(OrganisationLimits.of(100, 100_000, 1000)),
           List.of(),
           Optional.empty(),
-          false);
+          false,
+          List.of());
 
   private final OrganisationLimiter limiter = OrganisationLimiter.create();
 
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -35,7 +35,8 @@
         600,
         Optional.empty(),
         priority,
-        2);
+        2,
+        List.of());
   }
 
   static ResolvedRequest plain(Execution execution) {
@@ -68,6 +69,17 @@
         copy, resolved.route(), resolved.service(), resolved.organisation(), resolved.deadline());
   }
 
+  /** Returns the request with lists of allowed regions of its route and of its organisation. */
+  static ResolvedRequest inRegions(
+      ResolvedRequest resolved, List<String> ofRoute, List<String> ofOrganisation) {
+    return new ResolvedRequest(
+        resolved.request(),
+        resolved.route().withAllowedRegions(ofRoute),
+        resolved.service(),
+        Optional.of(organisation("wanjiru", false).withAllowedRegions(ofOrganisation)),
+        resolved.deadline());
+  }
+
   static ResolvedRequest generation(PromptPart... parts) {
     return generation(Optional.empty(), parts);
   }
@@ -87,7 +99,8 @@
         Optional.empty(),
         List.of(RelayTable.digestOf("key-of-" + name)),
         Optional.empty(),
-        isIsolated);
+        isIsolated,
+        List.of());
   }
 
   private static ResolvedRequest resolved(
@@ -115,6 +128,10 @@
   }
 
   static RelayTarget target(String id) {
-    return new RelayTarget(id, 1, "10.0.0.1:80", "dc-1", SLOTS, "model", 1);
+    return target(id, "dc-1");
+  }
+
+  static RelayTarget target(String id, String dataCentre) {
+    return new RelayTarget(id, 1, "10.0.0.1:80", dataCentre, SLOTS, "model", 1);
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/metrics/DaemonMetrics.java
@@ -34,6 +34,9 @@
   private final Counter requestsRefusedAtLimit =
       registry.counter("requests_refused_at_limit_total");
 
+  private final Counter requestsRefusedByRegion =
+      registry.counter("requests_refused_by_region_total");
+
   private final Counter targetsLeaving = registry.counter("targets_closed_total.leaving");
   private final Counter targetsPaused = registry.counter("targets_closed_total.paused");
 
@@ -104,6 +107,11 @@
     weightsOverdueRequests.inc();
   }
 
+  /** Records a request that was refused since no target is in a region that it may be served in. */
+  public void requestRefusedByRegion() {
+    requestsRefusedByRegion.inc();
+  }
+
   /** Records a request that was refused since targets were at their limits of requests. */
   public void requestRefusedAtLimit() {
     requestsRefusedAtLimit.inc();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -53,6 +53,7 @@
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.StoreChangeLog;
@@ -320,7 +321,8 @@
             settings.retryShare(),
             settings.retryReserve(),
             settings.replacedWeights(),
-            HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())));
+            HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())),
+            DataCentreRegions.of(settings.regions()));
     Relay started =
         Relay.start(
             holder,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.geraniumwharf.weights.ReplacedWeights;
 
@@ -25,6 +26,7 @@
  * @param retryReserve repeats of all instances together beyond that share
  * @param replacedWeights time after which no request may begin on replaced weights
  * @param heldRequests most requests held before the first confirmed view; 0 to refuse them
+ * @param regions name of the region by the name of the data centre, where it is known
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -44,10 +46,12 @@
     double retryReserve,
     ReplacedWeights.Bounds replacedWeights,
     int heldRequests,
+    Map<String, String> regions,
     Duration grace) {
 
   public NodeSettings {
     seeds = List.copyOf(seeds);
+    regions = Map.copyOf(regions);
   }
 
   /** Tells whether the process takes requests of callers. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettingsLoader.java
@@ -4,7 +4,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.geraniumwharf.internal.settings.IniFile;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
@@ -56,6 +58,7 @@
             number("relay", "retry-reserve"),
             replacedWeights(),
             heldRequests(),
+            regions(),
             Duration.ofMillis((long) (number("shutdown", "grace-seconds") * 1000)));
     if (settings.control().isPresent() && settings.dataFolder().isEmpty()) {
       faults.add("[node] data-folder: a control instance needs a data folder");
@@ -116,6 +119,26 @@
     return (int) value;
   }
 
+  /**
+   * Reads the regions of the data centres. That of the data centre of the process itself may be
+   * given by its own key alone.
+   */
+  private Map<String, String> regions() {
+    Map<String, String> regions = new HashMap<>(ini.section("data-centres"));
+    regions.values().removeIf(String::isEmpty);
+    Optional<String> own = optional("node", "region");
+    String dataCentre = ini.value("node", "data-centre");
+    if (own.isPresent()) {
+      String listed = regions.putIfAbsent(dataCentre, own.get());
+      if (listed != null && !listed.equals(own.get())) {
+        faults.add(
+            String.format(
+                "[data-centres] %s: is %s but [node] region is %s", dataCentre, listed, own.get()));
+      }
+    }
+    return regions;
+  }
+
   private Optional<String> optional(String section, String key) {
     String value = ini.value(section, key);
     return value.isEmpty() ? Optional.empty() : Optional.of(value);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -142,9 +142,10 @@
         next);
   }
 
-  /** Returns whether a target may get no more, or the permit for it expired. */
+  /** Returns whether a target may not get the request any more, or the permit for it expired. */
   private boolean isExcluded(TargetCall next, Instant now) {
-    return relay().load().isClosed(next.target(), now)
+    return !relay().isRegionAllowed(exchange.request(), next.target())
+        || relay().load().isClosed(next.target(), now)
         || relay().isOverdue(next.target(), now)
         || !relay().load().permits().isValid(next.permit(), now);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -82,6 +82,13 @@
     if (quarantined.isPresent()) {
       return quarantined;
     }
+    Optional<ServingException> outOfRegion = relay().findRegionRefusal(request());
+    if (outOfRegion.isPresent()) {
+      // An error that a repeat does not mend states no time.
+      return outOfRegion.map(
+          error ->
+              error.retryAfter().isEmpty() ? error : error.withRetryAfter(noTargetRetryAfter(now)));
+    }
     return relay()
         .findOverdue(request(), now)
         .map(overdue -> overdue.withRetryAfter(noTargetRetryAfter(now)));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -11,6 +11,7 @@
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.weights.ReplacedWeights;
@@ -34,18 +35,26 @@
    * @param retryReserve retries that all instances together may send beyond that share
    * @param weights time after which no request may begin on replaced weights
    * @param hold which requests are held before the first confirmed view
+   * @param regions regions of the data centres
    */
   public record Rules(
       String dataCentre,
       double retryShare,
       double retryReserve,
       ReplacedWeights.Bounds weights,
-      HoldPolicy hold) {
+      HoldPolicy hold,
+      DataCentreRegions regions) {
 
-    /** Rules that hold no request before the first confirmed view. */
+    /** Rules that hold no request before the first confirmed view and know no regions. */
     public Rules(
         String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
-      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none());
+      this(
+          dataCentre,
+          retryShare,
+          retryReserve,
+          weights,
+          HoldPolicy.none(),
+          DataCentreRegions.none());
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -28,6 +28,7 @@
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.PlacementQuery;
+import org.geraniumwharf.relay.PlacementRules;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -52,6 +53,7 @@
   private final RelayPlacement placement;
   private final RelayLoadTable load;
   private final WeightsLimit weights;
+  private final RegionRules regions;
   private final LoggedQuarantine quarantine;
   private final Relay.Rules rules;
   private final IntSupplier liveInstances;
@@ -80,13 +82,18 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
-    this.transfers = RelayTransfers.create(admission, stores);
+    this.regions = RegionRules.of(rules.regions(), metrics, log);
+    this.transfers = RelayTransfers.create(admission, stores, regions);
     this.load = load;
     this.weights = weights;
     this.quarantine = quarantine;
     this.admission = admission;
     this.protocol = protocol;
-    this.placement = RelayPlacement.forDataCentre(rules.dataCentre()).withLimit(weights);
+    this.placement =
+        RelayPlacement.of(
+            PlacementRules.standard(rules.dataCentre())
+                .with(regions.exclusion())
+                .withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
     this.metrics = metrics;
@@ -176,6 +183,16 @@
     return weights.isOverdue(target, now);
   }
 
+  /** Returns whether a request may be sent to the region of a target. */
+  boolean isRegionAllowed(ResolvedRequest request, RelayTarget target) {
+    return regions.allows(request, target.dataCentre());
+  }
+
+  /** Returns the error for a request that may be sent to no region in which there is a target. */
+  Optional<ServingException> findRegionRefusal(ResolvedRequest request) {
+    return regions.findRefusal(request, admission.routing().targetsOf(request.service().name()));
+  }
+
   /** Returns the error for a request whose targets all have weights replaced too long ago. */
   Optional<ServingException> findOverdue(ResolvedRequest request, Instant now) {
     String service = request.service().name();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTransfers.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayTransfers.java
@@ -24,18 +24,20 @@
 
   private final RelayAdmission admission;
   private final KnownStores stores;
+  private final RegionRules regions;
   private final FetchTimes fetchTimes = FetchTimes.create();
   private final PrefillRate prefillRate = PrefillRate.create();
   private final TransferPlanner planner;
 
-  private RelayTransfers(RelayAdmission admission, KnownStores stores) {
+  private RelayTransfers(RelayAdmission admission, KnownStores stores, RegionRules regions) {
     this.admission = admission;
     this.stores = stores;
+    this.regions = regions;
     this.planner = TransferPlanner.of(stores.storedParts(), fetchTimes);
   }
 
-  static RelayTransfers create(RelayAdmission admission, KnownStores stores) {
-    return new RelayTransfers(admission, stores);
+  static RelayTransfers create(RelayAdmission admission, KnownStores stores, RegionRules regions) {
+    return new RelayTransfers(admission, stores, regions);
   }
 
   /** Returns the length of the prompt prefix that is worth fetching from stores, tokens. */
@@ -44,13 +46,13 @@
       return 0;
     }
     return planner.storedTokens(
-        request, availableStores(now), request.cacheScope(targets.get(0)), rates(request));
+        request, availableStores(request, now), request.cacheScope(targets.get(0)), rates(request));
   }
 
   /** Plans which parts a target fetches from and saves to cache stores for a request. */
   CacheTransfers plan(ResolvedRequest request, RelayTarget target, Instant now) {
     return planner.plan(
-        request, availableStores(now), request.cacheScope(target), rates(request), now);
+        request, availableStores(request, now), request.cacheScope(target), rates(request), now);
   }
 
   /** Returns the rates of the engines of a request's service, which has none if it is plain. */
@@ -62,10 +64,11 @@
         : new EngineRates(prefill, prefill);
   }
 
-  private List<CacheStore> availableStores(Instant now) {
+  /** Returns the stores that may hold KV cache of a request and are available. */
+  private List<CacheStore> availableStores(ResolvedRequest request, Instant now) {
     List<CacheStore> available = new ArrayList<>();
     for (CacheStore store : admission.routing().stores()) {
-      if (stores.isAvailable(store.name(), now)) {
+      if (regions.allows(request, store.dataCentre()) && stores.isAvailable(store.name(), now)) {
         available.add(store);
       }
     }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/settings/IniFile.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/settings/IniFile.java
@@ -70,6 +70,11 @@
     return COMMENTS.indexOf(character) >= 0;
   }
 
+  /** Returns the values of a section by their keys; none if it is missing. */
+  public Map<String, String> section(String section) {
+    return Map.copyOf(sections.getOrDefault(section, Map.of()));
+  }
+
   /** Returns a value; empty if the key is missing. */
   public String value(String section, String key) {
     return sections.getOrDefault(section, Map.of()).getOrDefault(key, "");
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/node/NodeSettingsLoaderTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.geraniumwharf.internal.settings.InvalidSettingsException;
 import org.geraniumwharf.weights.ReplacedWeights;
 import org.junit.jupiter.api.Test;
@@ -68,12 +69,49 @@
     assertEquals(Duration.ofMillis(1501), settings.replacedWeights().inTotal());
   }
 
+  @Test
+  void should_know_no_region_where_the_platform_names_none() throws Exception {
+    assertEquals(Map.of(), loadRegions("region =\n", "dc-2 =\n").regions());
+    assertEquals(Map.of(), load("").regions());
+  }
+
+  @Test
+  void should_read_the_regions_of_the_data_centres() throws Exception {
+    assertEquals(Map.of("dc-1", "north"), loadRegions("region = north\n", "").regions());
+    assertEquals(
+        Map.of("dc-1", "north", "dc-2", "south"),
+        loadRegions("region = north\n", "dc-1 = north\ndc-2 = south\n").regions());
+  }
+
+  // Guards against a data centre that counts as being in either of two regions.
+  @Test
+  void should_refuse_two_regions_of_the_data_centre_of_the_process() {
+    InvalidSettingsException refused =
+        assertThrows(
+            InvalidSettingsException.class,
+            () -> loadRegions("region = north\n", "dc-1 = south\n"));
+
+    assertEquals(
+        List.of("[data-centres] dc-1: is south but [node] region is north"), refused.faults());
+  }
+
+  private NodeSettings loadRegions(String nodeLines, String dataCentreLines)
+      throws IOException, InvalidSettingsException {
+    return load(nodeLines, "[data-centres]\n" + dataCentreLines);
+  }
+
   private NodeSettings load(String relayLines) throws IOException, InvalidSettingsException {
+    return load("", relayLines);
+  }
+
+  private NodeSettings load(String nodeLines, String relayLines)
+      throws IOException, InvalidSettingsException {
     Path file = folder.resolve("node.ini");
     Files.writeString(
         file,
-        """
-        [node]
+        "[node]\n"
+            + nodeLines
+            + """
         name = node-1
         data-centre = dc-1
         bootstrap = false
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/serving/Fixtures.java
@@ -36,7 +36,8 @@
           Optional.empty(),
           List.of(),
           Optional.empty(),
-          false);
+          false,
+          List.of());
   static final Route ROUTE =
       Route.of(
           "quotes",
