Tell other instances the region of each data centre

The boot fields of the platform name the zone and the region of the process only. An entry instance knew no region but its own, and would have sent restricted requests to its own data centre only.

While the configuration restricts requests to regions, each instance states its region in its heartbeats, and entry instances ask the leader once a second for what the live instances state. It is kept without a time limit. A data centre of which different regions are stated counts as unknown. Without lists the new fields are absent.

Whether a request is restricted is found once for each placement query.

Without the report in the heartbeat, the set-up of AllowedRegionsTest times out. Test suites of schema, generator, core, control, daemon and cli pass.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -156,7 +156,8 @@
             duties.quarantinedParts(),
             stores.changesSince(heartbeat.storePositions()),
             duties.targetLimits(now),
-            duties.issuePermits(heartbeat, now)));
+            duties.issuePermits(heartbeat, now),
+            duties.regions(heartbeat, now)));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -23,6 +23,7 @@
 import org.geraniumwharf.schema.messages.LimitReport;
 import org.geraniumwharf.schema.messages.OrganisationShare;
 import org.geraniumwharf.schema.messages.PermitGrant;
+import org.geraniumwharf.schema.messages.RegionTable;
 import org.geraniumwharf.schema.messages.TargetRenewal;
 import org.geraniumwharf.schema.messages.TargetWork;
 import org.geraniumwharf.schema.state.AnnounceCommand;
@@ -52,6 +53,7 @@
   private final Map<String, DaemonLease> daemonLeases = new HashMap<>();
   private final ReportedLoad reportedLoad = new ReportedLoad();
   private final PermitDuty permits;
+  private final RegionLedger regions = new RegionLedger();
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
   private Instant leaderSince = Instant.MIN;
@@ -72,6 +74,7 @@
     daemonLeases.clear();
     reportedLoad.clear();
     permits.startLeadership();
+    regions.clear();
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
     leaderSince = now;
@@ -90,6 +93,7 @@
     if (!isOlderIncarnation(call.daemon(), state, now)) {
       daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
       reportedLoad.replace(call.daemon().name(), call.targetWork());
+      regions.record(call);
     }
     recordCrashes(call, now);
     permits.receiveHeartbeat(call, now);
@@ -148,6 +152,11 @@
     return permits.limits(now);
   }
 
+  /** Returns the regions of the live daemons for a daemon that asks for them. */
+  Optional<RegionTable> regions(HeartbeatCall call, Instant now) {
+    return call.region().isEmpty() ? Optional.empty() : regions.answer(call, liveDaemonNames(now));
+  }
+
   /** Issues permits for limited targets for the demands that a daemon reports. */
   List<PermitGrant> issuePermits(HeartbeatCall call, Instant now) {
     return permits.issue(call, now);
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/LeaderDutiesTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.geraniumwharf.control.ControlOptions;
 import org.geraniumwharf.internal.state.ControlState;
 import org.geraniumwharf.logging.EventLog;
@@ -101,7 +102,8 @@
         List.of(),
         List.of(),
         List.of(),
-        List.of());
+        List.of(),
+        Optional.empty());
   }
 
   private static ControlOptions options() {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/PlacementSchedule.java
@@ -185,7 +185,8 @@
             List.of(),
             List.of(),
             List.of(),
-            List.of()));
+            List.of(),
+            Optional.empty()));
     return leader.tick(state, term, Duration.ZERO, () -> Set.of("daemon-1"), now);
   }
 
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ReplicaRunnerTest.java
@@ -212,7 +212,8 @@
             List.of(),
             List.of(),
             List.of(),
-            List.of());
+            List.of(),
+            Optional.empty());
     return assertInstanceOf(HeartbeatAnswer.class, runner.call(call).get(30, SECONDS));
   }
 
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementQuery.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/PlacementQuery.java
@@ -21,6 +21,7 @@
   private final EngineRates rates;
   private final Instant now;
   private final boolean isGeneration;
+  private final boolean isRestrictedToRegions;
   private final Optional<EngineCapacity> engine;
   private final long footprint;
   private final PartKeys partKeys;
@@ -54,6 +55,7 @@
     this.rates = rates;
     this.now = now;
     this.isGeneration = request.isGeneration();
+    this.isRestrictedToRegions = DataCentreRegions.isRestricted(request);
     this.engine = request.service().engine();
     this.footprint = request.footprint();
     this.partKeys = new PartKeys(request);
@@ -93,6 +95,11 @@
     return isGeneration;
   }
 
+  /** Returns whether the route or the organisation of the request restricts it to regions. */
+  boolean isRestrictedToRegions() {
+    return isRestrictedToRegions;
+  }
+
   /** Returns the capacity of the engines of the service; empty if it has none. */
   Optional<EngineCapacity> engine() {
     return engine;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RegionExclusion.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RegionExclusion.java
@@ -27,8 +27,10 @@
   @Override
   public Optional<Exclusion> find(
       PlacementQuery query, RelayTarget target, RelayLoadTable.Load load) {
-    return regions.get().allows(query.request(), target.dataCentre())
-        ? Optional.empty()
-        : NOT_ALLOWED;
+    if (!query.isRestrictedToRegions()
+        || regions.get().allows(query.request(), target.dataCentre())) {
+      return Optional.empty();
+    }
+    return NOT_ALLOWED;
   }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/daemon/DaemonModule.java
@@ -19,6 +19,7 @@
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.LimitExchange;
 import org.geraniumwharf.internal.fleet.OrderDelivery;
+import org.geraniumwharf.internal.fleet.RegionExchange;
 import org.geraniumwharf.internal.fleet.StoreExchange;
 import org.geraniumwharf.internal.fleet.TargetRegistrations;
 import org.geraniumwharf.internal.fleet.WorkExchange;
@@ -180,6 +181,7 @@
         CrashExchange.none(),
         StoreExchange.none(),
         LimitExchange.none(),
+        RegionExchange.none(),
         log,
         clock);
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/FleetMembership.java
@@ -38,6 +38,7 @@
    * @param crashes crash evidence, shared with the other daemons
    * @param stores contents of cache stores, which control instances hand on
    * @param limits limits of targets and permits for them, shared by way of the leader
+   * @param regions regions of data centres, shared with the other daemons
    * @param limiter tells its demand and receives its shares
    */
   public static FleetMembership create(
@@ -55,6 +56,7 @@
       CrashExchange crashes,
       StoreExchange stores,
       LimitExchange limits,
+      RegionExchange regions,
       EventLog log,
       InstantSource clock) {
     ControlReachability reachability = new ControlReachability(directory.names().size());
@@ -76,6 +78,7 @@
             crashes,
             stores,
             limits,
+            regions,
             log,
             clock);
     return new FleetMembership(client, readiness, watcher, heartbeats);
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/fleet/HeartbeatSender.java
@@ -45,6 +45,7 @@
   private final CrashExchange crashes;
   private final StoreExchange stores;
   private final LimitExchange limits;
+  private final RegionExchange regions;
   private final EventLog log;
   private final InstantSource clock;
   private final Semaphore changes = new Semaphore(0);
@@ -62,6 +63,7 @@
       CrashExchange crashes,
       StoreExchange stores,
       LimitExchange limits,
+      RegionExchange regions,
       EventLog log,
       InstantSource clock) {
     this.identity = identity;
@@ -76,6 +78,7 @@
     this.crashes = crashes;
     this.stores = stores;
     this.limits = limits;
+    this.regions = regions;
     this.log = log;
     this.clock = clock;
   }
@@ -143,7 +146,8 @@
                   crashReport.quarantinedParts(),
                   stores.positions(),
                   limitReport.limits(),
-                  limitReport.demands()),
+                  limitReport.demands(),
+                  regions.report(view.configuration(), now)),
               HeartbeatAnswer.class,
               now.plus(TIMEOUT));
       registrations.reported(report);
@@ -154,6 +158,7 @@
               answer.term(), answer.suspectedParts(), answer.quarantinedParts()),
           clock.instant());
       stores.received(answer.storeChanges(), clock.instant());
+      answer.regions().ifPresent(table -> regions.received(table.regions()));
       limits.answered(
           new TargetPermits.Answer(answer.entryInstances(), answer.limits(), answer.permits()),
           now,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -39,6 +39,7 @@
 import org.geraniumwharf.internal.http.HttpListener;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
+import org.geraniumwharf.internal.relay.KnownRegions;
 import org.geraniumwharf.internal.relay.KnownStores;
 import org.geraniumwharf.internal.relay.LoggedQuarantine;
 import org.geraniumwharf.internal.relay.Relay;
@@ -53,7 +54,6 @@
 import org.geraniumwharf.limit.TargetPermits;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
-import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.relay.StoreChangeLog;
@@ -101,6 +101,7 @@
   private final RelayLoadTable load;
   private final LoggedQuarantine quarantine;
   private final KnownStores stores;
+  private final KnownRegions regions;
   private final FleetMembership membership;
   private final List<Thread> controlThreads = new ArrayList<>();
   private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
@@ -120,6 +121,8 @@
     this.clock = clock;
     this.quarantine = LoggedQuarantine.create(log);
     this.stores = KnownStores.create(log);
+    this.regions =
+        KnownRegions.create(settings.dataCentre(), settings.isEntry(), settings.regions(), log);
     TargetPermits permits = TargetPermits.create(settings.peer(), this::sendHeartbeat);
     this.load = RelayLoadTable.create(settings.peer(), permits);
     this.directory = ControlDirectory.ofSeeds(settings.seeds());
@@ -150,6 +153,7 @@
             settings.isEntry()
                 ? RelayLimits.create(permits, this::wakeQueued, log)
                 : LimitExchange.none(),
+            regions,
             log,
             clock);
   }
@@ -322,7 +326,7 @@
             settings.retryReserve(),
             settings.replacedWeights(),
             HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())),
-            DataCentreRegions.of(settings.regions()));
+            regions::current);
     Relay started =
         Relay.start(
             holder,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RegionRules.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RegionRules.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
@@ -22,28 +23,28 @@
 
   private static final String NONE = "none";
 
-  private final DataCentreRegions regions;
+  private final Supplier<DataCentreRegions> regions;
   private final DaemonMetrics metrics;
   private final EventLog log;
 
-  private RegionRules(DataCentreRegions regions, DaemonMetrics metrics, EventLog log) {
+  private RegionRules(Supplier<DataCentreRegions> regions, DaemonMetrics metrics, EventLog log) {
     this.regions = regions;
     this.metrics = metrics;
     this.log = log;
   }
 
-  static RegionRules of(DataCentreRegions regions, DaemonMetrics metrics, EventLog log) {
+  static RegionRules of(Supplier<DataCentreRegions> regions, DaemonMetrics metrics, EventLog log) {
     return new RegionRules(regions, metrics, log);
   }
 
   /** Returns the rule of placement. */
   TargetExclusion exclusion() {
-    return RegionExclusion.of(() -> regions);
+    return RegionExclusion.of(regions);
   }
 
   /** Returns whether a request may be sent to a data centre, and its KV cache be stored there. */
   boolean allows(ResolvedRequest request, String dataCentre) {
-    return regions.allows(request, dataCentre);
+    return regions.get().allows(request, dataCentre);
   }
 
   /**
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
@@ -35,7 +36,7 @@
    * @param retryReserve retries that all instances together may send beyond that share
    * @param weights time after which no request may begin on replaced weights
    * @param hold which requests are held before the first confirmed view
-   * @param regions regions of the data centres
+   * @param regions returns the regions of the data centres that are known now
    */
   public record Rules(
       String dataCentre,
@@ -43,7 +44,7 @@
       double retryReserve,
       ReplacedWeights.Bounds weights,
       HoldPolicy hold,
-      DataCentreRegions regions) {
+      Supplier<DataCentreRegions> regions) {
 
     /** Rules that hold no request before the first confirmed view and know no regions. */
     public Rules(
@@ -54,7 +55,7 @@
           retryReserve,
           weights,
           HoldPolicy.none(),
-          DataCentreRegions.none());
+          DataCentreRegions::none);
     }
   }
 
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/fleet/HeartbeatSenderTest.java
@@ -61,6 +61,7 @@
         CrashExchange.none(),
         StoreExchange.none(),
         LimitExchange.none(),
+        RegionExchange.none(),
         EventLog.none(),
         clock);
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/RegionRulesTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/RegionRulesTest.java
@@ -46,7 +46,7 @@
   private final DaemonMetrics metrics = DaemonMetrics.create();
   private final RegionRules rules =
       RegionRules.of(
-          DataCentreRegions.of(Map.of("dc-1", "north", "dc-2", "south")),
+          () -> DataCentreRegions.of(Map.of("dc-1", "north", "dc-2", "south")),
           metrics,
           new LineLog(lines));
   private final KnownStores stores = KnownStores.create(EventLog.none());
