--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -171,7 +171,8 @@
             stores.changesSince(heartbeat.storePositions()),
             duties.targetLimits(now),
             duties.issuePermits(heartbeat, now),
-            duties.entryRank(heartbeat, state, core.confirmedAge(now), now)));
+            duties.entryRank(heartbeat, state, core.confirmedAge(now), now),
+            duties.regions(heartbeat, now)));
   }
 
   private void handlePublish(
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -26,6 +26,7 @@
 import org.geraniumwharf.schema.messages.LimitReport;
 import org.geraniumwharf.schema.messages.OrganisationShare;
 import org.geraniumwharf.schema.messages.PermitGrant;
+import org.geraniumwharf.schema.messages.RegionTable;
 import org.geraniumwharf.schema.messages.TargetRenewal;
 import org.geraniumwharf.schema.messages.TargetSpeed;
 import org.geraniumwharf.schema.messages.TargetWork;
@@ -58,6 +59,7 @@
   private final SharedSpeeds speeds = SharedSpeeds.create();
   private final PermitDuty permits;
   private final ColdDuty cold;
+  private final RegionLedger regions = new RegionLedger();
   private LimitShareAllocator limitShares = LimitShareAllocator.create();
   private CrashLedger crashes = CrashLedger.create();
   private EntryRanks ranks = EntryRanks.ofLeaderSince(Instant.EPOCH);
@@ -83,6 +85,7 @@
     permits.startLeadership();
     cold.startLeadership(state, now);
     ranks = EntryRanks.ofLeaderSince(now);
+    regions.clear();
     limitShares = LimitShareAllocator.create();
     crashes = CrashLedger.create();
     leaderSince = now;
@@ -102,6 +105,7 @@
       daemonLeases.put(call.daemon().name(), new DaemonLease(call.daemon(), now));
       reportedLoad.replace(call.daemon().name(), call.targetWork());
       speeds.record(call.targetSpeeds(), now);
+      regions.record(call);
     }
     recordCrashes(call, now);
     permits.receiveHeartbeat(call, now);
@@ -185,6 +189,11 @@
         .collect(Collectors.toSet());
   }
 
+  /** Returns the regions of the live daemons for a daemon that asks for them. */
+  Optional<RegionTable> regions(HeartbeatCall call, Instant now) {
+    return call.region().isEmpty() ? Optional.empty() : regions.answer(call, liveDaemonNames(now));
+  }
+
   /** Issues permits for limited targets for the demands that a daemon reports. */
   List<PermitGrant> issuePermits(HeartbeatCall call, Instant now) {
     return permits.issue(call, now);
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
@@ -104,7 +104,8 @@
         List.of(),
         List.of(),
         List.of(),
-        List.of());
+        List.of(),
+        Optional.empty());
   }
 
   private Announcement announcement(long incarnation, long coldMillis) {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/EvacuateCallTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/EvacuateCallTest.java
@@ -141,7 +141,8 @@
             List.of(),
             List.of(),
             List.of(),
-            List.of()));
+            List.of(),
+            Optional.empty()));
   }
 
   private ControlAnswer call(PeerMessage call) throws Exception {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -39,6 +39,7 @@
 import org.geraniumwharf.internal.http.HttpListener;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.internal.relay.BufferingHttpClient;
+import org.geraniumwharf.internal.relay.KnownRegions;
 import org.geraniumwharf.internal.relay.KnownStores;
 import org.geraniumwharf.internal.relay.LoggedQuarantine;
 import org.geraniumwharf.internal.relay.Relay;
@@ -102,6 +103,7 @@
   private final RelayLoadTable load;
   private final LoggedQuarantine quarantine;
   private final KnownStores stores;
+  private final KnownRegions regions;
   private final FleetMembership membership;
   private final List<Thread> controlThreads = new ArrayList<>();
   private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
@@ -121,6 +123,8 @@
     this.clock = clock;
     this.quarantine = LoggedQuarantine.create(log);
     this.stores = KnownStores.create(log);
+    this.regions =
+        KnownRegions.create(settings.dataCentre(), settings.isEntry(), settings.regions(), log);
     TargetPermits permits = TargetPermits.create(settings.peer(), this::sendHeartbeat);
     ColdTargets cold =
         ColdTargets.within(settings.coldBounds(), ProcessAge.startAsOf(clock.instant()));
@@ -153,6 +157,7 @@
             settings.isEntry()
                 ? RelayLimits.create(permits, cold, this::wakeQueued, log)
                 : LimitExchange.none(),
+            regions,
             log,
             clock);
   }
@@ -345,7 +350,8 @@
             settings.replacedWeights(),
             HoldPolicy.of(settings.heldRequests(), ProcessAge.startAsOf(clock.instant())),
             settings.isQueueFair(),
-            settings.isCostLearned());
+            settings.isCostLearned(),
+            regions::current);
     Relay started =
         Relay.start(
             holder,
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.geraniumwharf.relay.ColdBounds;
 import org.geraniumwharf.weights.ReplacedWeights;
@@ -31,6 +32,7 @@
  * @param coldBounds bounds of the requests to a cold target; empty to treat it like any other
  * @param isQueueFair whether queued requests are ordered by fair shares and slack
  * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
+ * @param regions name of the region by the name of the data centre, where it is known
  * @param grace time between the signal to stop and the end of the process
  */
 public record NodeSettings(
@@ -54,10 +56,12 @@
     Optional<ColdBounds> coldBounds,
     boolean isQueueFair,
     boolean isCostLearned,
+    Map<String, String> regions,
     Duration grace) {
 
   public NodeSettings {
     seeds = List.copyOf(seeds);
+    regions = Map.copyOf(regions);
   }
 
   /** Tells whether the process takes requests of callers. */
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
@@ -35,7 +35,6 @@
                     .recordResponse(
                         endedCall.target().id(), exchange.request(), sent.elapsedMillis(now), now));
     relay().recordSound(exchange.request());
-    Instant now = relay().now();
     relay().recordFirstResponse(exchange.request(), exchange.calls().sentAt(), now);
     relay().recordResponse(exchange.request(), exchange.calls().sentAt(), now);
     if (exchange.calls().end(endedCall)) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/Relay.java
@@ -7,10 +7,12 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.geraniumwharf.internal.fleet.FleetViewHolder;
 import org.geraniumwharf.internal.fleet.Readiness;
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.HoldPolicy;
 import org.geraniumwharf.relay.RelayLoadTable;
 import org.geraniumwharf.weights.ReplacedWeights;
@@ -36,6 +38,7 @@
    * @param hold which requests are held before the first confirmed view
    * @param isQueueFair whether queued requests are ordered by fair shares and slack
    * @param isCostLearned whether placement uses learned speeds of targets and costs of requests
+   * @param regions returns the regions of the data centres that are known now
    */
   public record Rules(
       String dataCentre,
@@ -44,12 +47,21 @@
       ReplacedWeights.Bounds weights,
       HoldPolicy hold,
       boolean isQueueFair,
-      boolean isCostLearned) {
+      boolean isCostLearned,
+      Supplier<DataCentreRegions> regions) {
 
-    /** Rules that hold no request before the first confirmed view. */
+    /** Rules that hold no request before the first confirmed view and know no regions. */
     public Rules(
         String dataCentre, double retryShare, double retryReserve, ReplacedWeights.Bounds weights) {
-      this(dataCentre, retryShare, retryReserve, weights, HoldPolicy.none(), false, false);
+      this(
+          dataCentre,
+          retryShare,
+          retryReserve,
+          weights,
+          HoldPolicy.none(),
+          false,
+          false,
+          DataCentreRegions::none);
     }
   }
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -60,6 +60,7 @@
   private final RelayLoadTable load;
   private final WeightsLimit weights;
   private final EvacuationExclusion evacuation;
+  private final RegionRules regions;
   private final LoggedQuarantine quarantine;
   private final Relay.Rules rules;
   private final IntSupplier liveInstances;
@@ -90,7 +91,8 @@
       DaemonMetrics metrics,
       EventLog log,
       InstantSource clock) {
-    this.transfers = RelayTransfers.create(admission, stores);
+    this.regions = RegionRules.of(rules.regions(), metrics, log);
+    this.transfers = RelayTransfers.create(admission, stores, regions);
     this.load = load;
     this.weights = weights;
     this.quarantine = quarantine;
@@ -102,6 +104,7 @@
             placementRules(rules)
                 .with(evacuation)
                 .with(new ColdExclusion(load.cold()))
+                .with(regions.exclusion())
                 .withLimit(weights));
     this.rules = rules;
     this.liveInstances = liveInstances;
@@ -223,6 +226,16 @@
         : Optional.empty();
   }
 
+  /** Returns whether a request may be sent to the region of a target. */
+  boolean isRegionAllowed(ResolvedRequest request, RelayTarget target) {
+    return regions.allows(request, target.dataCentre());
+  }
+
+  /** Returns the error for a request that may be sent to no region in which there is a target. */
+  Optional<ServingException> findRegionRefusal(ResolvedRequest request) {
+    return regions.findRefusal(request, admission.routing().targetsOf(request.service().name()));
+  }
+
   /** Returns the error for a request whose targets all have weights replaced too long ago. */
   Optional<ServingException> findOverdue(ResolvedRequest request, Instant now) {
     String service = request.service().name();
