--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -366,7 +366,7 @@
   public synchronized InFlightRequest recordSent(
       RelayPlacement.Choice choice, ResolvedRequest resolved, Instant now) {
     InFlightRequest sent = recordSent(choice.target(), resolved, choice.firstTokenMillis());
-    if (isLearning && resolved.isGeneration()) {
+    if (isLearning && resolved.isGeneration() && choice.firstTokenMillis() > 0) {
       sent.sentAtMillis = now.toEpochMilli();
       sent.service = times(resolved);
       sent.backlogAheadMillis = choice.load().backlogMillis();
@@ -403,10 +403,10 @@
     entry.inFlight--;
     entry.footprint -= sent.footprint;
     entry.backlogMillis -= sent.backlogMillis;
-    sent.backlogMillis = 0;
     if (sent.isAwaited()) {
       entry.learned.recordGivenUp(sent);
     }
+    sent.backlogMillis = 0;
   }
 
   /**
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetSpeedTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetSpeedTest.java
@@ -127,6 +127,16 @@
     assertEquals(1, slowdown(load, TestRequests.NOW.plusMillis(2000)));
   }
 
+  /** Guards against requests that ended without a first token and are awaited for ever. */
+  @Test
+  void should_not_await_the_first_token_of_a_request_that_ended() {
+    RelayLoadTable load = learning();
+    load.recordEnded(send(load, TARGETS.get(0), TestRequests.NOW));
+
+    assertEquals(1, slowdown(load, TestRequests.NOW.plusSeconds(2)));
+    assertEquals(List.of(), load.takeSpeeds(TestRequests.NOW.plusSeconds(2)));
+  }
+
   @Test
   void should_count_the_work_that_a_target_has_probably_done() {
     RelayLoadTable load = learning();
