Take the leave of a target whose sequence the leader has used

The leader records the end of a cold state that no heartbeat reported, with the sequence after the newest one. A control instance that had not seen this record gave a leave the same sequence. The leave was then ignored, also when it was sent again: it was answered 503, and requests went on to the target until its lease expired.

A leave of the same process whose sequence is that of the record gets the next one. A leave is never withdrawn, so it cannot undo a newer announcement.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/LeaderDuties.java
@@ -113,7 +113,8 @@
     for (TargetRenewal renewal : call.renewals()) {
       renewTargetLease(renewal.id(), renewal.incarnation(), renewal.sequence(), now);
     }
-    for (Announcement announcement : call.announcements()) {
+    for (Announcement received : call.announcements()) {
+      Announcement announcement = withFreeSequence(received, state);
       renewTargetLease(announcement.id(), announcement.incarnation(), announcement.sequence(), now);
       Announcement completed = cold.completed(announcement, state, now);
       if (isNewContent(completed, state, now)) {
@@ -212,6 +213,24 @@
     return isLive(current, now) || state.claimOwners().containsKey(status.name());
   }
 
+  /**
+   * Returns an announcement that a target leaves with the next sequence if its own was used
+   * meanwhile, for example for an end of the cold state that the leader recorded and the sender had
+   * not seen. It would be ignored otherwise, and requests would go on to a target that has gone.
+   */
+  private static Announcement withFreeSequence(Announcement announcement, ControlState state) {
+    boolean isUsed =
+        announcement.leaving()
+            && state
+                .target(announcement.id())
+                .map(TargetRecord::announcement)
+                .filter(current -> !current.leaving())
+                .filter(current -> current.incarnation() == announcement.incarnation())
+                .filter(current -> current.sequence() == announcement.sequence())
+                .isPresent();
+    return isUsed ? announcement.withSequence(announcement.sequence() + 1) : announcement;
+  }
+
   private void renewTargetLease(String id, long incarnation, long sequence, Instant now) {
     TargetLease current = targetLeases.get(id);
     if (current == null
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/replica/ColdDutyTest.java
@@ -206,6 +206,26 @@
     assertEquals(700, recordedCold());
   }
 
+  // Guards against a leave that is ignored, since its sequence is that of the recorded end, and
+  // against a record that never expires, since its lease has an older sequence.
+  @Test
+  void should_take_a_leave_whose_sender_had_not_seen_the_end_that_the_leader_recorded() {
+    startWarm();
+    hear(1, 1000);
+    Announcement leave = announcement(1, 0).withLeaving(true).withSequence(sequence + 1);
+    pass(1600);
+    assertEquals(leave.sequence(), target().announcement().sequence());
+
+    apply(duties.receiveHeartbeat(call("entry-1", List.of(leave)), state, now));
+
+    assertTrue(target().announcement().leaving());
+    for (int i = 0; i < 20; i++) {
+      pass(500);
+      duties.receiveHeartbeat(call("entry-1", List.of()), state, now);
+    }
+    assertTrue(target().lapsed());
+  }
+
   // Guards against a new process that is taken to be warm since its first heartbeat says so.
   @Test
   void should_take_a_new_process_to_be_cold_for_the_time_of_its_service() {
