Await no first token of a generation whose response comes as a whole

Only a stream shows its first token. Its work stays in the backlog until its end, as without learned costs.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayLoadTable.java
@@ -384,7 +384,9 @@
   public synchronized InFlightRequest recordSent(
       RelayPlacement.Choice choice, ResolvedRequest resolved, Instant now) {
     InFlightRequest sent = recordSent(choice.target(), resolved, choice.firstTokenMillis());
-    if (isLearning && resolved.isGeneration() && choice.firstTokenMillis() > 0) {
+    // Only streams show their first token; a whole response would look like a late one.
+    boolean hasFirstToken = resolved.isGeneration() && resolved.isStream();
+    if (isLearning && hasFirstToken && choice.firstTokenMillis() > 0) {
       sent.sentAtMillis = now.toEpochMilli();
       sent.service = times(resolved);
       sent.backlogAheadMillis = choice.load().backlogMillis();
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetSpeedTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TargetSpeedTest.java
@@ -137,6 +137,22 @@
     assertEquals(List.of(), load.takeSpeeds(TestRequests.NOW.plusSeconds(2)));
   }
 
+  /** Guards against a whole response that is taken for a first token that is late. */
+  @Test
+  void should_not_await_the_first_token_of_a_response_that_comes_as_a_whole() {
+    RelayLoadTable load = learning();
+    PlacementQuery query = query("whole", TARGETS.subList(0, 1), TestRequests.NOW);
+    RelayPlacement placement = RelayPlacement.of(PlacementRules.learned("dc-1"));
+    RelayPlacement.Choice choice = placement.choose(query, load).orElseThrow();
+    load.recordSent(choice, TestRequests.unstreamed(query.request()), TestRequests.NOW);
+
+    Instant later = TestRequests.NOW.plusSeconds(2);
+
+    assertEquals(1, slowdown(load, later));
+    assertEquals(List.of(), load.takeSpeeds(later));
+    assertEquals(choice.firstTokenMillis(), load.localLoad(later).get(0).backlogMillis());
+  }
+
   @Test
   void should_count_the_work_that_a_target_has_probably_done() {
     RelayLoadTable load = learning();
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -70,6 +70,16 @@
         copy, resolved.route(), resolved.service(), resolved.organisation(), resolved.deadline());
   }
 
+  /** Returns the request on a route whose responses are not streamed. */
+  static ResolvedRequest unstreamed(ResolvedRequest resolved) {
+    return new ResolvedRequest(
+        resolved.request(),
+        route("whole", "/whole/", Execution.IDEMPOTENT, 0),
+        resolved.service(),
+        resolved.organisation(),
+        resolved.deadline());
+  }
+
   /** Returns the request with lists of allowed regions of its route and of its organisation. */
   static ResolvedRequest inRegions(
       ResolvedRequest resolved, List<String> ofRoute, List<String> ofOrganisation) {
