Bound the work of requests that ended

The size that a caller states was bounded where a request is offered, not where it ends. One end of an absurd size raised the mean work so much that no request was expected to wait (0 ms instead of 100 ms after 200 usual ends in the new test, which failed before), so none was refused at once.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RequestProfile.java
@@ -42,7 +42,12 @@
   private static final double OUTPUT_TOKEN_WORK = 6;
 
   public RequestProfile {
-    work = work >= MIN_WORK ? Math.min(work, MAX_WORK) : MIN_WORK;
+    work = bounded(work);
+  }
+
+  /** Returns the nearest amount of work that a request can have; the least one for no number. */
+  static double bounded(double work) {
+    return work >= MIN_WORK ? Math.min(work, MAX_WORK) : MIN_WORK;
   }
 
   /**
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/WorkRate.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/WorkRate.java
@@ -37,11 +37,12 @@
    * @param isAnyWaiting whether requests wait
    */
   void recordEnded(double work, boolean isAnyWaiting, Instant now) {
+    double ended = RequestProfile.bounded(work);
     if (lastAt.equals(Instant.MIN)) {
-      meanWork = work;
+      meanWork = ended;
     } else {
       meanGapMillis += SMOOTHING_FACTOR * (gap(isAnyWaiting, now) - meanGapMillis);
-      meanWork += SMOOTHING_FACTOR * (work - meanWork);
+      meanWork += SMOOTHING_FACTOR * (ended - meanWork);
     }
     lastAt = now.isAfter(lastAt) ? now : lastAt;
   }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/FairQueueTest.java
@@ -304,6 +304,25 @@
     assertTrue(usual.expectedWait().compareTo(Duration.ofMillis(100)) < 0);
   }
 
+  /** Guards against an absurd size after whose end no request is expected to wait. */
+  @Test
+  void should_expect_the_usual_wait_again_after_ends_of_absurd_sizes() {
+    for (double work : new double[] {Double.NaN, Double.POSITIVE_INFINITY, 1e300, -5}) {
+      RelayQueue<String> disturbed = RelayQueue.fair();
+      disturbed.recordEnded(100, NOW);
+      disturbed.recordEnded(work, NOW);
+      for (int i = 1; i <= 200; i++) {
+        disturbed.recordEnded(100, NOW.plusMillis(10L * i));
+      }
+      Instant now = NOW.plusMillis(2000);
+
+      disturbed.offer("first", request("one", 3000, 1000), now);
+
+      long millis = disturbed.drainTime(now).toMillis();
+      assertTrue(millis > 95 && millis < 105, millis + " ms after " + work);
+    }
+  }
+
   /** Guards against memory that grows with names that callers choose. */
   @Test
   void should_keep_a_bounded_number_of_names() {
