Count no failed call as work that was done

A call that failed without an answer, or whose answer is not trusted, counted as an end of work, contrary to what is stated there. When a target fails, all of its requests end at once, after which a fair queue would expect that targets work many times faster and refuse nothing at once. Without a fair queue each end counts, as before.

--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -18,8 +18,6 @@
 /** Sends the request of an exchange to targets, to one after the other. */
 final class ExchangeCalls {
 
-  private static final int FIRST_ERROR_STATUS = 400;
-
   private final RelayExchange exchange;
   private final Set<String> triedTargets = new HashSet<>();
   private int sendCount;
@@ -222,17 +220,10 @@
       relay().load().permits().giveBack(endedCall.permit());
     }
     relay().load().recordEnded(endedCall.run());
-    relay().requestEnded(exchange.request(), isWorkDone(endedCall), now);
+    relay().requestEnded(exchange.request(), endedCall.isWorkDone(), now);
     return !exchange.isDone();
   }
 
-  /** Calls that failed or were refused tell nothing about the rate at which targets work. */
-  private static boolean isWorkDone(TargetCall endedCall) {
-    boolean isRefused =
-        endedCall.head().filter(head -> head.status().code() >= FIRST_ERROR_STATUS).isPresent();
-    return endedCall.isSent() && !isRefused;
-  }
-
   /** Cancels the call that has not ended. */
   void cancelCurrent() {
     call.ifPresent(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -23,6 +23,8 @@
   /** Largest response that is buffered until it is complete. */
   private static final int MAX_BUFFERED_BYTES = 512 << 10;
 
+  private static final int FIRST_ERROR_STATUS = 400;
+
   /** Largest event of a stream. */
   private static final int MAX_EVENT_BYTES = 64 << 10;
 
@@ -45,6 +47,7 @@
   private TargetResponse.Verdict verdict = TargetResponse.Verdict.UNTRUSTED;
   private int eventCount;
   private boolean isTurnedAway;
+  private boolean isFailed;
   private boolean isEnded;
 
   TargetCall(
@@ -104,6 +107,16 @@
     return isTurnedAway;
   }
 
+  /**
+   * Returns whether the target has worked on the request, as far as is known. Calls that failed or
+   * were refused tell nothing about the rate at which targets work.
+   */
+  boolean isWorkDone() {
+    boolean isRefused =
+        head.filter(received -> received.status().code() >= FIRST_ERROR_STATUS).isPresent();
+    return isSent() && !isRefused && !isFailed;
+  }
+
   boolean isEnded() {
     return isEnded;
   }
@@ -196,7 +209,7 @@
     if (isEventStream()) {
       body.release();
       if (eventDecoder.partialEventBytes() > 0) {
-        exchange.callFailed(this, "the stream ended within an event");
+        fail("the stream ended within an event");
       } else {
         exchange.streamCompleted(this);
       }
@@ -211,11 +224,16 @@
       }
       case UNTRUSTED -> {
         body.release();
-        exchange.callFailed(this, "the answer cannot be trusted");
+        fail("the answer cannot be trusted");
       }
     }
   }
 
+  private void fail(String cause) {
+    isFailed = true;
+    exchange.callFailed(this, cause);
+  }
+
   @Override
   public void onFailure(String cause) {
     if (isEnded) {
@@ -226,7 +244,7 @@
     if (verdict == TargetResponse.Verdict.NOT_EXECUTED && head.isPresent()) {
       exchange.notExecuted(this, head.get().status().code());
     } else {
-      exchange.callFailed(this, cause);
+      fail(cause);
     }
   }
 }
