Hold up no request behind one that waits for another region

A request that waited for the targets of an allowed region held up every request of its service that arrived with at least its priority and size, also those that free targets of other regions could have got at once: they were queued, decided 60 ms later, or refused because of the wait. The new test failed before. Without lists of regions nothing changes.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/DataCentreRegions.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/DataCentreRegions.java
@@ -74,6 +74,16 @@
     return true;
   }
 
+  /**
+   * Returns whether a request may be served wherever another one may, as far as it follows from
+   * lists that are absent or the same. Otherwise the other one need not wait behind it.
+   */
+  public static boolean covers(ResolvedRequest request, ResolvedRequest other) {
+    return !isRestricted(request)
+        || (request.route().allowedRegions().equals(other.route().allowedRegions())
+            && ofOrganisation(request).equals(ofOrganisation(other)));
+  }
+
   private static List<String> ofOrganisation(ResolvedRequest request) {
     Optional<Organisation> organisation = request.organisation();
     return organisation.isPresent() ? organisation.get().allowedRegions() : List.of();
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayQueue.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Queue of requests of one service that wait for free capacity. Safe for use by several threads; no
@@ -174,14 +175,24 @@
   }
 
   /** Returns whether a request that arrives has to be queued behind another one. */
-  public synchronized boolean mustQueue(RequestProfile profile, Instant now) {
+  public boolean mustQueue(RequestProfile profile, Instant now) {
+    return mustQueue(profile, now, waiting -> true);
+  }
+
+  /**
+   * Returns whether a request that arrives has to be queued behind another one.
+   *
+   * @param mayHoldUp whether a request that waits may be placed wherever the one that arrives may
+   */
+  public synchronized boolean mustQueue(
+      RequestProfile profile, Instant now, Predicate<T> mayHoldUp) {
     if (entries.isEmpty()) {
       return false;
     }
     Entry<T> arrived = entry(null, profile, now);
     Comparator<QueuedRequest> current = rules.order(entries).at(now);
     for (Entry<T> other : entries) {
-      if (rules.holdsUp(other, arrived, current)) {
+      if (mayHoldUp.test(other.item()) && rules.holdsUp(other, arrived, current)) {
         return true;
       }
     }
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RegionExclusionTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/RegionExclusionTest.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests that reach targets in regions in which they must not be served. */
 class RegionExclusionTest {
@@ -160,4 +162,29 @@
       ResolvedRequest request, List<RelayTarget> targets, Set<String> tried, Instant now) {
     return new PlacementQuery(request, targets, tried, INSTANCES, 0, TestRequests.RATES, now);
   }
+
+  /** Guards against requests that wait for one region and hold up those for another one. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void should_hold_up_only_requests_that_have_no_other_regions(boolean isFair) {
+    ResolvedRequest free = TestRequests.plain("free");
+    ResolvedRequest north = TestRequests.inRegions(free, List.of("north"), List.of());
+    ResolvedRequest south = TestRequests.inRegions(free, List.of(), List.of("south"));
+
+    assertTrue(isHeldUp(isFair, north, north));
+    assertFalse(isHeldUp(isFair, south, north));
+    assertFalse(isHeldUp(isFair, free, north));
+    assertTrue(isHeldUp(isFair, north, free));
+    assertTrue(isHeldUp(isFair, free, free));
+  }
+
+  private static boolean isHeldUp(
+      boolean isFair, ResolvedRequest arrived, ResolvedRequest waiting) {
+    RelayQueue<ResolvedRequest> queue = isFair ? RelayQueue.fair() : RelayQueue.create();
+    queue.offer(waiting, RequestProfile.of(waiting, true), TestRequests.NOW);
+    return queue.mustQueue(
+        RequestProfile.of(arrived, true),
+        TestRequests.NOW,
+        other -> DataCentreRegions.covers(other, arrived));
+  }
 }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -8,6 +8,7 @@
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.limit.Permit;
 import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.Openings;
 import org.geraniumwharf.relay.RelayPlacement;
 import org.geraniumwharf.relay.RelayQueue;
@@ -170,7 +171,9 @@
   }
 
   private boolean isHeldUp(RelayQueue<RelayExchange> queue, Instant now) {
-    return queue.size() > 0 && queue.mustQueue(profile(now), now);
+    return queue.size() > 0
+        && queue.mustQueue(
+            profile(now), now, other -> DataCentreRegions.covers(other.request(), request()));
   }
 
   // ---------------------------------------------------------------- the queue
