Show that long bodies within the limit hang a front for 20 s

40 clients send a body of 4,000,000 bytes each, at a third of the front's link; max_body_bytes is 4,194,304. The direct memory of the process is used up, its only event loop waits for memory, and small requests of others get no answer for up to 22 s.

--- a/review/standins-2/Manifests.java
+++ b/review/standins-2/Manifests.java
@@ -60,4 +60,15 @@
         + LIMITS
         + "}";
   }
+
+  /** Returns the same with a second route, for requests with long bodies. */
+  static String uploads(long version) {
+    return safe(version)
+        .replace(
+            "\"routes\":[",
+            "\"routes\":[{\"name\":\"r-up\",\"host\":\"pule25.example\","
+                + "\"path_prefix\":\"/up/\",\"kind\":\"unsafe\",\"timeout_ms\":20000,"
+                + "\"target_latency_ms\":5000,\"priority\":2,\"service\":\"booking\","
+                + "\"max_attempts\":1,\"public\":true},");
+  }
 }
