Log the voters of a control group and which replica may not vote

The lines replica-role and group-joined say which roles a replica takes and who joined, but not who has a vote at the end, nor that a replica that lost its disk withholds its own. So three hypotheses could not be told apart: messages between the replicas are lost, no log is up to date enough, or too few voters are left.

Each replica now logs replica-votes when the membership that it knows, or its recovery from a lost disk, changes. No behaviour changes.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -41,6 +41,7 @@
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.EntryKind;
 import org.geraniumwharf.schema.state.LogEntry;
+import org.geraniumwharf.schema.state.Membership;
 import org.geraniumwharf.schema.state.NamedWeights;
 import org.geraniumwharf.schema.state.StateSnapshot;
 import org.geraniumwharf.time.ConfirmedTime;
@@ -108,6 +109,8 @@
 
   private Role lastRole = Role.FOLLOWER;
   private Optional<String> lastLeader = Optional.empty();
+  private Membership lastMembers = Membership.of(List.of(), List.of());
+  private boolean wasRecovering;
 
   private ReplicaRunner(
       ControlOptions options,
@@ -330,6 +333,7 @@
     processAllOutput();
     sendFreshnessIfDue(clock.instant());
     handleRoleChange(clock.instant());
+    logVotes();
     publishLeadership(clock.instant());
     if (!now.isBefore(stopDeadline) || (isStopRequested() && core.role() != Role.LEADER)) {
       isStopping = true;
@@ -530,6 +534,22 @@
             .with("leader", lastLeader.orElse("none")));
   }
 
+  /** Logs who has a vote, and whether this replica may use its own. */
+  private void logVotes() {
+    Membership members = core.membership();
+    if (!members.equals(lastMembers) || core.isRecovering() != wasRecovering) {
+      lastMembers = members;
+      wasRecovering = core.isRecovering();
+      log.info(
+          Event.of("replica-votes")
+              .with("replica", options.name())
+              .with("term", core.term())
+              .with("voters", members.voters())
+              .with("learners", members.learners())
+              .with("recovering", wasRecovering));
+    }
+  }
+
   private void propose(Command command, CompletableFuture<ControlAnswer> answer) {
     OptionalLong index = core.propose(Codec.messagePack().encode(command));
     if (index.isPresent()) {
