Keep a control instance that is told to stop until its vote is taken over

Cause: an instance that was told to stop handed over leadership, not its vote. Its successor stayed a learner until the leader had missed the old one for 1.5 s. Meanwhile the five voters were one that was gone, two that lost their disks and may not vote before a leader has confirmed their logs, and two others: no majority, ever.

The leader promotes the learner first, and removes the voter only if enough of the others store every committed entry. What decides about members is in MembershipPlanner now, which takes that out of RaftCore and LeaderState.

Why it works: the instance votes and stores entries until five others hold every committed entry on at least three, so its end is no loss. The time of the losses does not matter, nor which instances they meet.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
@@ -143,16 +143,12 @@
       }
     }
     return greatestValueReachedBy(
-        Math.max(majorityOf(matches.size()), minimumDurableCopies), matches);
+        Math.max(Quorum.majorityOf(matches.size()), minimumDurableCopies), matches);
   }
 
   /** Returns the greatest value that a majority of the values reach. */
   private static long greatestMajorityValue(List<Long> values) {
-    return greatestValueReachedBy(majorityOf(values.size()), values);
-  }
-
-  private static int majorityOf(int count) {
-    return count / 2 + 1;
+    return greatestValueReachedBy(Quorum.majorityOf(values.size()), values);
   }
 
   /** Returns the greatest value that {@code count} values reach, or all if there are fewer. */
@@ -162,42 +158,8 @@
     return ordered.isEmpty() ? 0 : ordered.get(Math.min(count, ordered.size()) - 1);
   }
 
-  /** Returns whether the group has too few voters or a voter that is to be replaced. */
-  boolean isVoterNeeded(Membership membership, MembershipPolicy policy, Instant now) {
-    return membership.voters().size() < policy.desiredVoters()
-        || membership.voters().stream().anyMatch(name -> isReplaceable(name, policy, now));
-  }
-
-  /**
-   * Returns an unresponsive member that can be removed safely: any learner, or a voter if at least
-   * the desired number remain and the up-to-date voters still form a quorum of them.
-   */
-  Optional<String> removableMember(
-      Membership membership, long commitIndex, MembershipPolicy policy, Instant now) {
-    Optional<String> learner =
-        membership.learners().stream().filter(name -> isReplaceable(name, policy, now)).findFirst();
-    if (learner.isPresent()) {
-      return learner;
-    }
-    int remaining = membership.voters().size() - 1;
-    if (remaining < policy.desiredVoters()) {
-      return Optional.empty();
-    }
-    long upToDate =
-        membership.voters().stream().filter(name -> isUpToDate(name, commitIndex, now)).count();
-    return upToDate < Math.max(majorityOf(remaining), policy.minimumDurableCopies())
-        ? Optional.empty()
-        : membership.voters().stream().filter(name -> isReplaceable(name, policy, now)).findFirst();
-  }
-
-  /** Returns whether a member has not responded within the replacement timeout. */
-  private boolean isReplaceable(String name, MembershipPolicy policy, Instant now) {
-    Progress progress = otherMembers.get(name);
-    return progress != null
-        && !now.isBefore(progress.lastResponseAt().plus(policy.replacementTimeout()));
-  }
-
-  private boolean isUpToDate(String name, long commitIndex, Instant now) {
+  /** Returns whether a member is responsive and stores all committed entries. */
+  boolean isUpToDate(String name, long commitIndex, Instant now) {
     return name.equals(self)
         || (isResponsive(name, now) && otherMembers.get(name).matchIndex() >= commitIndex);
   }
@@ -211,10 +173,6 @@
     return active * 2 > membership.voters().size();
   }
 
-  boolean isEveryVoterUpToDate(Membership membership, long commitIndex, Instant now) {
-    return membership.voters().stream().allMatch(voter -> isUpToDate(voter, commitIndex, now));
-  }
-
   /** Returns whether another member responded within the minimum election timeout. */
   boolean isResponsive(String name, Instant now) {
     Progress progress = otherMembers.get(name);
@@ -222,14 +180,6 @@
         && now.isBefore(progress.lastResponseAt().plus(timing.electionTimeout()));
   }
 
-  /** Returns a responsive learner that has stored all committed entries, if there is one. */
-  Optional<String> promotableLearner(Membership membership, long commitIndex, Instant now) {
-    return membership.learners().stream()
-        .filter(
-            name -> isResponsive(name, now) && otherMembers.get(name).matchIndex() >= commitIndex)
-        .findFirst();
-  }
-
   /**
    * Starts a leadership transfer to the responsive voter with the highest match index. The transfer
    * expires after one election timeout.
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPolicy.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPolicy.java
@@ -31,6 +31,11 @@
     return new MembershipPolicy(losses + 1, 2 * losses + 1, REPLACEMENT_TIMEOUT);
   }
 
+  /** Returns how many of a number of voters must store an entry before it is committed. */
+  int copiesToCommit(int voters) {
+    return Math.max(Quorum.majorityOf(voters), minimumDurableCopies);
+  }
+
   boolean isManaged() {
     return desiredVoters > 0;
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
@@ -10,6 +10,7 @@
 import org.geraniumwharf.schema.messages.AppendAnswer;
 import org.geraniumwharf.schema.messages.AppendRequest;
 import org.geraniumwharf.schema.messages.InstallSnapshot;
+import org.geraniumwharf.schema.messages.LeaveOutcome;
 import org.geraniumwharf.schema.messages.RaftMessage;
 import org.geraniumwharf.schema.messages.ReplicaStatus;
 import org.geraniumwharf.schema.messages.TimeoutNow;
@@ -56,6 +57,7 @@
   private final RaftLog log;
   private final SnapshotSource snapshotSource;
   private final MembershipPolicy membershipPolicy;
+  private final MembershipPlanner planner;
   private final RaftMessageFactory messageFactory;
   private final VoteTally votes = new VoteTally();
   private final List<OutgoingMessage> messages = new ArrayList<>();
@@ -91,6 +93,7 @@
     this.random = initial.random();
     this.snapshotSource = initial.snapshotSource();
     this.membershipPolicy = initial.membershipPolicy();
+    this.planner = MembershipPlanner.of(membershipPolicy);
     this.log =
         RaftLog.startingAfter(
             initial.snapshotIndex(),
@@ -198,19 +201,39 @@
     if (leaderState.isEmpty() || log.membershipIndex() > commitIndex) {
       return false;
     }
-    Membership changed = MembershipChange.apply(log.membership(), name, add);
-    if (!add && !leaderState.get().isEveryVoterUpToDate(changed, commitIndex, now)) {
-      return false;
+    Optional<Membership> changed =
+        planner.change(leaderState.get(), log.membership(), commitIndex, name, add, now);
+    changed.ifPresent(membership -> appendIfChanged(membership, now));
+    return changed.isPresent();
+  }
+
+  /**
+   * Lets a voter that is about to stop leave the group, if a learner can take its place. To be
+   * called again until the outcome is final; a leader that is about to stop transfers leadership.
+   */
+  public LeaveOutcome leave(String name, Instant now) {
+    if (leaderState.isEmpty() || log.membershipIndex() > commitIndex) {
+      return LeaveOutcome.PENDING;
     }
-    if (!changed.equals(log.membership())) {
-      appendMembership(changed, now);
+    if (!isVoter(name)) {
+      return LeaveOutcome.LEFT;
     }
-    return true;
+    if (!membershipPolicy.isManaged()) {
+      return LeaveOutcome.NO_SUCCESSOR;
+    }
+    if (name.equals(self)) {
+      transferLeadership(now);
+      return LeaveOutcome.PENDING;
+    }
+    MembershipPlanner.LeavePlan plan =
+        planner.leave(leaderState.get(), log.membership(), commitIndex, name, now);
+    plan.next().ifPresent(membership -> appendMembership(membership, now));
+    return plan.outcome();
   }
 
   /** Transfers leadership to the responsive voter with the highest match index. */
   public void transferLeadership(Instant now) {
-    if (leaderState.isPresent()) {
+    if (leaderState.isPresent() && !leaderState.get().isTransferring()) {
       Optional<String> transferee = leaderState.get().startTransfer(otherVoters(), now);
       transferee.ifPresent(name -> sendTimeoutNowIfCaughtUp(leaderState.get(), name));
     }
@@ -676,6 +699,12 @@
     return index;
   }
 
+  private void appendIfChanged(Membership membership, Instant now) {
+    if (!membership.equals(log.membership())) {
+      appendMembership(membership, now);
+    }
+  }
+
   private void appendMembership(Membership membership, Instant now) {
     LeaderState state = leaderState.orElseThrow();
     long index = log.lastIndex() + 1;
@@ -712,33 +741,12 @@
       broadcast(state, now);
     }
     if (log.membershipIndex() <= commitIndex) {
-      maintainMembership(state, now);
-    }
-  }
-
-  private void maintainMembership(LeaderState state, Instant now) {
-    Optional<String> replaceable =
-        membershipPolicy.isManaged()
-            ? state.removableMember(log.membership(), commitIndex, membershipPolicy, now)
-            : none();
-    if (replaceable.isPresent()) {
-      appendMembership(MembershipChange.apply(log.membership(), replaceable.get(), false), now);
-    } else if (!membershipPolicy.isManaged()
-        || state.isVoterNeeded(log.membership(), membershipPolicy, now)) {
-      promoteLearner(state, now);
+      planner
+          .maintain(state, log.membership(), commitIndex, now)
+          .ifPresent(membership -> appendMembership(membership, now));
     }
   }
 
-  private static Optional<String> none() {
-    return Optional.empty();
-  }
-
-  private void promoteLearner(LeaderState state, Instant now) {
-    state
-        .promotableLearner(log.membership(), commitIndex, now)
-        .ifPresent(name -> appendMembership(MembershipChange.promote(log.membership(), name), now));
-  }
-
   private void broadcast(LeaderState state, Instant now) {
     state.startRound(now);
     state.confirmRounds(log.membership(), commitIndex).ifPresent(this::recordConfirmedAt);
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/CallHandler.java
@@ -37,6 +37,8 @@
 import org.geraniumwharf.schema.messages.FinishRunCall;
 import org.geraniumwharf.schema.messages.HeartbeatAnswer;
 import org.geraniumwharf.schema.messages.HeartbeatCall;
+import org.geraniumwharf.schema.messages.LeaveGroupAnswer;
+import org.geraniumwharf.schema.messages.LeaveGroupCall;
 import org.geraniumwharf.schema.messages.NameWeightsCall;
 import org.geraniumwharf.schema.messages.NotLeader;
 import org.geraniumwharf.schema.messages.PeerMessage;
@@ -133,6 +135,8 @@
           answer);
     } else if (call instanceof ChangeVotersCall change) {
       handleChangeVoters(change, answer, now);
+    } else if (call instanceof LeaveGroupCall leave) {
+      answer.complete(LeaveGroupAnswer.of(core.leave(leave.name(), now)));
     } else if (call instanceof SteerRolloutCall steer) {
       handleSteerRollout(steer, answer, now);
     } else if (call instanceof ReadDocumentCall) {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedReplica.java
@@ -15,6 +15,7 @@
 import org.geraniumwharf.internal.storage.StorageException;
 import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.messages.ControlAnswer;
+import org.geraniumwharf.schema.messages.LeaveOutcome;
 import org.geraniumwharf.schema.messages.RaftMessage;
 import org.geraniumwharf.schema.state.Command;
 import org.geraniumwharf.schema.state.EntryKind;
@@ -236,6 +237,16 @@
     }
   }
 
+  /** Asks this replica to let a voter leave; empty if it does not answer. */
+  Optional<LeaveOutcome> leave(String member, Instant now) {
+    if (!isActive()) {
+      return Optional.empty();
+    }
+    LeaveOutcome outcome = core.get().leave(member, localTime(now));
+    processOutput(now);
+    return Optional.of(outcome);
+  }
+
   void transferLeadership(Instant now) {
     if (isActive()) {
       core.get().transferLeadership(localTime(now));
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/NodeRuntime.java
@@ -108,6 +108,7 @@
   private final List<Thread> controlThreads = new ArrayList<>();
   private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
   private Optional<ControlInstance> instance = Optional.empty();
+  private Optional<Thread> groupJoiner = Optional.empty();
   private volatile Optional<Relay> relay = Optional.empty();
 
   private NodeRuntime(
@@ -285,9 +286,10 @@
     var unusedFailure = started.failure().thenAccept(failure::complete);
     peers.control(started);
     membership.local(started);
-    controlThreads.add(
-        DaemonThreads.start(
-            new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner"));
+    groupJoiner =
+        Optional.of(
+            DaemonThreads.start(
+                new GroupJoiner(settings.peer(), started, client, log, clock), "group-joiner"));
     ControlService service =
         new ControlService(
             settings.peer(),
@@ -417,13 +419,18 @@
     log.info(Event.of("settings-reloaded").with("seeds", changed.seeds()));
   }
 
-  /** Turns unready, finishes the requests under way, hands leadership over and stops. */
+  /**
+   * Turns unready, finishes the requests under way, hands the vote and the leadership over and
+   * stops.
+   */
   public void shutdown() {
     Instant begun = clock.instant();
     log.info(Event.of("shutdown-started").with("inFlight", inFlight()));
     membership.readiness().leaving();
     membership.changed();
+    CompletableFuture<Void> left = leaveGroup(begun);
     int cut = relay.map(running -> drain(running, begun)).orElse(0);
+    left.join();
     instance.ifPresent(NodeRuntime::stopControl);
     membership.stop();
     links.close();
@@ -431,6 +438,16 @@
     log.info(Event.of("shutdown-finished").with("cut", cut));
   }
 
+  /** Starts to leave the group of the control instances, if that manages its members. */
+  private CompletableFuture<Void> leaveGroup(Instant begun) {
+    if (instance.isEmpty() || settings.tolerated() == ControlOptions.MEMBERS_BY_OPERATORS) {
+      return CompletableFuture.completedFuture(null);
+    }
+    groupJoiner.ifPresent(Thread::interrupt);
+    GroupLeaver leaver = new GroupLeaver(settings.peer(), client, log, clock);
+    return CompletableFuture.runAsync(() -> leaver.leave(begun, settings.grace()), workers);
+  }
+
   /**
    * Ends everything at once, as the end of the process does; for a process that goes on without
    * this node.
@@ -438,6 +455,7 @@
   @Override
   public void close() {
     membership.stop();
+    groupJoiner.ifPresent(Thread::interrupt);
     controlThreads.forEach(Thread::interrupt);
     instance.ifPresent(NodeRuntime::stopControl);
     links.close();
