Let a group go on after a voter was killed and two others lost their disks

With a voter that is killed instead of told to stop, right after its successor joined, and two others that lose their disks around that time, control has no leader ever again; the manifest cannot be read or changed (LOST).

Cause: a replica that lost its disk gave no vote at all, and a successor that held the whole log was a learner while every voter answered. Two lost disks and one voter that is gone leave two votes of five, though three instances hold the log.

Change: - A successor that has caught up is a voter beside the five that there are (MembershipPolicy.maxVoters); one more than desired, not two. - A replica that lost its disk gives a vote that counts towards the majority only. n - majority + 1 votes must be of replicas that kept their disks (VoteTally). An older build takes it for a refusal. - A group may be even now. Two memberships that follow each other may then have majorities without a common replica that kept its disk, so until the newer one is known as committed both decide on elections and commits, and the leader goes on sending to removed members (RaftCore.decidingMemberships).

Why it works: a majority that stored an entry or elected another leader in the same term has a member among any n - majority + 1 voters that kept their disks; that one refuses a candidate without the entry. So the missing votes of replicas without disks can be taken without a loss of what was committed, and the successor's vote replaces the killed one's.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/control/LeaveWait.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/control/LeaveWait.java
@@ -17,12 +17,17 @@
   /** Part of the grace time that may pass; the rest is for the end of the process. */
   private static final int GRACE_PERCENT = 75;
 
-  private final Instant successorDeadline;
   private final Instant deadline;
+  private final Optional<LeaveOutcome> last;
 
-  private LeaveWait(Instant successorDeadline, Instant deadline) {
-    this.successorDeadline = successorDeadline;
+  /** First of the unbroken series of answers that there is no successor. */
+  private final Optional<Instant> withoutSuccessorSince;
+
+  private LeaveWait(
+      Instant deadline, Optional<LeaveOutcome> last, Optional<Instant> withoutSuccessorSince) {
     this.deadline = deadline;
+    this.last = last;
+    this.withoutSuccessorSince = withoutSuccessorSince;
   }
 
   /**
@@ -33,20 +38,35 @@
    */
   public static LeaveWait startingAt(Instant begun, Duration grace) {
     Instant deadline = begun.plus(grace.multipliedBy(GRACE_PERCENT).dividedBy(100));
-    Instant successorDeadline = begun.plus(LATE_SUCCESSOR);
-    return new LeaveWait(
-        successorDeadline.isBefore(deadline) ? successorDeadline : deadline, deadline);
+    return new LeaveWait(deadline, Optional.empty(), Optional.empty());
   }
 
   /**
-   * Returns whether the instance stops now.
+   * Returns the wait after an answer of the leader. A successor has its time from the first answer
+   * that there is none: while there was no leader, it could not join.
    *
-   * @param last last answer of the leader; empty if none answered
+   * @param answer empty if no leader answered
    */
-  public boolean isOver(Optional<LeaveOutcome> last, Instant now) {
-    if (last.equals(Optional.of(LeaveOutcome.LEFT)) || !now.isBefore(deadline)) {
-      return true;
-    }
-    return last.equals(Optional.of(LeaveOutcome.NO_SUCCESSOR)) && !now.isBefore(successorDeadline);
+  public LeaveWait after(Optional<LeaveOutcome> answer, Instant now) {
+    Optional<Instant> since =
+        answer
+            .filter(outcome -> outcome == LeaveOutcome.NO_SUCCESSOR)
+            .map(outcome -> withoutSuccessorSince.orElse(now));
+    return new LeaveWait(deadline, answer, since);
+  }
+
+  /** Returns whether the instance stops now. */
+  public boolean isOver(Instant now) {
+    boolean isSuccessorMissing =
+        withoutSuccessorSince.isPresent()
+            && !now.isBefore(withoutSuccessorSince.get().plus(LATE_SUCCESSOR));
+    return last.equals(Optional.of(LeaveOutcome.LEFT))
+        || isSuccessorMissing
+        || !now.isBefore(deadline);
+  }
+
+  /** Returns the last answer of the leader, or empty if none answered. */
+  public Optional<LeaveOutcome> last() {
+    return last;
   }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/LeaderState.java
@@ -47,9 +47,12 @@
    * Updates the tracked members after a membership change. A new member counts as responsive at
    * first, so that it has a full timeout to respond.
    */
-  void syncMembers(Membership membership, long nextIndex, Instant now) {
-    Set<String> members = new HashSet<>(membership.voters());
-    members.addAll(membership.learners());
+  void syncMembers(List<Membership> memberships, long nextIndex, Instant now) {
+    Set<String> members = new HashSet<>();
+    for (Membership membership : memberships) {
+      members.addAll(membership.voters());
+      members.addAll(membership.learners());
+    }
     members.remove(self);
     otherMembers.keySet().retainAll(members);
     members.forEach(
@@ -73,6 +76,10 @@
     barrierIndex = index;
   }
 
+  boolean isBarrierCommitted(long commitIndex) {
+    return commitIndex >= barrierIndex;
+  }
+
   boolean isHeartbeatDue(Instant now) {
     return !now.isBefore(nextHeartbeat);
   }
@@ -101,7 +108,7 @@
       confirmedRound = confirmed.number();
       start = Optional.of(confirmed.start());
     }
-    return commitIndex < barrierIndex ? Optional.empty() : start;
+    return isBarrierCommitted(commitIndex) ? start : Optional.empty();
   }
 
   private long acknowledgedRound(String voter) {
@@ -118,7 +125,7 @@
   }
 
   List<ConfirmedRead> takeConfirmedReads(long commitIndex) {
-    if (commitIndex < barrierIndex) {
+    if (!isBarrierCommitted(commitIndex)) {
       return List.of();
     }
     List<ConfirmedRead> confirmed = new ArrayList<>();
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPlanner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPlanner.java
@@ -24,7 +24,8 @@
 
   /**
    * Returns the next membership that keeps the group at its size: without an unresponsive member,
-   * or with a learner as a voter. Returns empty if nothing has to change.
+   * or with a learner as a voter. One voter more than desired is kept if there is an instance for
+   * it: the successor of one that is about to be replaced. Returns empty if nothing has to change.
    */
   Optional<Membership> maintain(
       LeaderState state, Membership membership, long commitIndex, Instant now) {
@@ -33,7 +34,7 @@
       if (removable.isPresent()) {
         return Optional.of(MembershipChange.apply(membership, removable.get(), false));
       }
-      if (!isVoterNeeded(state, membership, now)) {
+      if (membership.voters().size() >= policy.maxVoters()) {
         return Optional.empty();
       }
     }
@@ -96,12 +97,6 @@
     }
   }
 
-  /** Returns whether the group has too few voters or a voter that is to be replaced. */
-  private boolean isVoterNeeded(LeaderState state, Membership membership, Instant now) {
-    return membership.voters().size() < policy.desiredVoters()
-        || membership.voters().stream().anyMatch(name -> isReplaceable(state, name, now));
-  }
-
   /**
    * Returns an unresponsive member that can be removed safely: any learner, or a voter if at least
    * the desired number remain and the up-to-date voters still form a quorum of them.
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPolicy.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/MembershipPolicy.java
@@ -16,6 +16,12 @@
 
   private static final Duration REPLACEMENT_TIMEOUT = Duration.ofMillis(1500);
 
+  /**
+   * Voters above the desired number. A successor has a vote before the voter that it replaces ends,
+   * so that this end is no loss even if it comes without notice.
+   */
+  private static final int SPARE_VOTERS = 1;
+
   /** Returns a policy where operators add and remove members and a majority commits an entry. */
   public static MembershipPolicy manual() {
     return new MembershipPolicy(1, 0, REPLACEMENT_TIMEOUT);
@@ -36,6 +42,10 @@
     return Math.max(Quorum.majorityOf(voters), minimumDurableCopies);
   }
 
+  int maxVoters() {
+    return desiredVoters + SPARE_VOTERS;
+  }
+
   boolean isManaged() {
     return desiredVoters > 0;
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/Quorum.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/Quorum.java
@@ -8,4 +8,9 @@
   static int majorityOf(int count) {
     return count / 2 + 1;
   }
+
+  /** Returns the least number of voters of which every majority contains one. */
+  static int intersectingMajority(int count) {
+    return count - majorityOf(count) + 1;
+  }
 }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.geraniumwharf.schema.messages.AppendAnswer;
 import org.geraniumwharf.schema.messages.AppendRequest;
@@ -71,6 +73,10 @@
   private long persistedIndex;
   private long firstUnpersistedIndex;
   private boolean isHardStateChanged;
+
+  /** Newest index that is known as committed and whose entry was durable before that was known. */
+  private long durableCommitIndex;
+
   private boolean isRecovering;
   private boolean isAppendPending;
   private boolean hasHadLeader;
@@ -103,6 +109,7 @@
     this.term = initial.hardState().term();
     this.votedFor = initial.hardState().vote();
     this.isRecovering = initial.hardState().recovering();
+    this.durableCommitIndex = initial.hardState().commit();
     this.startedAt = now;
     this.commitIndex = initial.snapshotIndex();
     this.appliedIndex = initial.snapshotIndex();
@@ -124,7 +131,7 @@
       tickLeader(leaderState.get(), now);
     } else if (!now.isBefore(electionDeadline)) {
       electionDeadline = randomElectionDeadline(now);
-      if (isVoter(self) && !isRecovering) {
+      if (electors().contains(self) && !isRecovering) {
         startPreVote(now);
       }
     }
@@ -198,7 +205,7 @@
    *     remaining voter is not up to date
    */
   public boolean changeMembership(String name, boolean add, Instant now) {
-    if (leaderState.isEmpty() || log.membershipIndex() > commitIndex) {
+    if (leaderState.isEmpty() || !canChangeMembership(leaderState.get())) {
       return false;
     }
     Optional<Membership> changed =
@@ -212,7 +219,7 @@
    * called again until the outcome is final; a leader that is about to stop transfers leadership.
    */
   public LeaveOutcome leave(String name, Instant now) {
-    if (leaderState.isEmpty() || log.membershipIndex() > commitIndex) {
+    if (leaderState.isEmpty() || !canChangeMembership(leaderState.get())) {
       return LeaveOutcome.PENDING;
     }
     if (!isVoter(name)) {
@@ -244,6 +251,7 @@
     persistedIndex = log.lastIndex();
     firstUnpersistedIndex = persistedIndex + 1;
     leaderState.ifPresent(this::advanceCommit);
+    recordDurableCommit();
   }
 
   /** Removes the applied entries up to an index that a durable snapshot covers. */
@@ -331,7 +339,7 @@
 
   /** Returns the hard state to write at the start of a new log file. */
   public HardState hardState() {
-    return HardState.of(term, votedFor, commitIndex, isRecovering);
+    return HardState.of(term, votedFor, durableCommitIndex, isRecovering);
   }
 
   /** Returns the entries after an index; the log must contain that index. */
@@ -417,41 +425,57 @@
     } else if (message instanceof InstallSnapshot request) {
       handleInstallSnapshot(request, now);
     } else if (message instanceof TimeoutNow) {
-      if (isVoter(self) && leaderState.isEmpty() && !isRecovering) {
+      if (electors().contains(self) && leaderState.isEmpty() && !isRecovering) {
         startElection(true, now);
       }
     }
   }
 
   private void handleVoteRequest(VoteRequest request, Instant now) {
-    boolean isUpToDate =
-        request.lastTerm() > log.lastTerm()
-            || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
-    if (isRecovering) {
-      return;
-    }
     if (request.preVote()) {
-      boolean granted =
-          isUpToDate
-              && request.term() > term
-              && !hasActiveLeader(now)
-              && !isElectionLeftToAnother(request, now);
-      if (granted) {
-        leaveElectionTo(request, now);
-      }
-      long answerTerm = granted ? request.term() : term;
-      send(request.from(), messageFactory.voteAnswer(answerTerm, true, granted));
+      handlePreVoteRequest(request, now);
       return;
     }
     boolean canVote = votedFor.isEmpty() || votedFor.get().equals(request.from());
-    boolean granted = isUpToDate && canVote && leaderState.isEmpty();
+    boolean granted = isUpToDate(request) && canVote && leaderState.isEmpty();
     if (granted) {
       votedFor = Optional.of(request.from());
       isHardStateChanged = true;
       electionDeadline = randomElectionDeadline(now);
       awaitElection(now);
     }
-    send(request.from(), messageFactory.voteAnswer(term, false, granted));
+    answerVote(request, granted, term);
+  }
+
+  private void handlePreVoteRequest(VoteRequest request, Instant now) {
+    boolean granted =
+        isUpToDate(request)
+            && request.term() > term
+            && !hasActiveLeader(now)
+            && !isElectionLeftToAnother(request, now);
+    if (granted) {
+      leaveElectionTo(request, now);
+    }
+    answerVote(request, granted, granted ? request.term() : term);
+  }
+
+  private boolean isUpToDate(VoteRequest request) {
+    return request.lastTerm() > log.lastTerm()
+        || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
+  }
+
+  /**
+   * Answers a vote request. A vote that is given by a replica that lost its disk bears the term of
+   * the candidate also if it is a pre-vote: for one that does not know such votes it is then a
+   * refusal without consequences.
+   */
+  private void answerVote(VoteRequest request, boolean granted, long answerTerm) {
+    if (granted && isRecovering) {
+      long candidateTerm = request.preVote() ? request.term() - 1 : request.term();
+      send(request.from(), messageFactory.recoveringVote(candidateTerm, request.preVote()));
+    } else {
+      send(request.from(), messageFactory.voteAnswer(answerTerm, request.preVote(), granted));
+    }
   }
 
   /**
@@ -496,12 +520,16 @@
 
   private void handleVoteAnswer(VoteAnswer answer, Instant now) {
     Role expected = answer.preVote() ? Role.PRE_CANDIDATE : Role.CANDIDATE;
-    long expectedTerm = answer.preVote() ? term + 1 : term;
-    if (role != expected || !answer.granted() || answer.term() != expectedTerm) {
+    boolean isNextTerm = answer.preVote() && answer.granted();
+    if (role != expected || answer.term() != (isNextTerm ? term + 1 : term)) {
       return;
     }
-    votes.add(answer.from());
-    if (votes.isQuorumOf(log.membership())) {
+    if (answer.granted()) {
+      votes.add(answer.from());
+    } else if (answer.recovering()) {
+      votes.addRecovering(answer.from());
+    }
+    if (votes.isElectedIn(decidingMemberships())) {
       handleQuorumGranted(now);
     }
   }
@@ -533,12 +561,14 @@
 
   private void requestVotes(long candidateTerm, boolean preVote, boolean isTransfer, Instant now) {
     votes.reset(self);
-    if (votes.isQuorumOf(log.membership())) {
+    if (votes.isElectedIn(decidingMemberships())) {
       handleQuorumGranted(now);
       return;
     }
-    for (String voter : otherVoters()) {
-      send(voter, messageFactory.voteRequest(candidateTerm, preVote, isTransfer, log));
+    for (String voter : electors()) {
+      if (!voter.equals(self)) {
+        send(voter, messageFactory.voteRequest(candidateTerm, preVote, isTransfer, log));
+      }
     }
   }
 
@@ -559,7 +589,7 @@
     hasHadLeader = true;
     leader = Optional.of(self);
     LeaderState state = new LeaderState(self, timing, now);
-    state.syncMembers(log.membership(), log.lastIndex() + 1, now);
+    state.syncMembers(decidingMemberships(), log.lastIndex() + 1, now);
     leaderState = Optional.of(state);
     appendAsLeader(EntryKind.BARRIER, new byte[0]);
     state.setBarrierIndex(log.lastIndex());
@@ -709,7 +739,7 @@
     LeaderState state = leaderState.orElseThrow();
     long index = log.lastIndex() + 1;
     log.append(LogEntry.of(index, term, EntryKind.MEMBERSHIP, MembershipChange.encode(membership)));
-    state.syncMembers(membership, index, now);
+    state.syncMembers(decidingMemberships(), index, now);
     broadcast(state, now);
   }
 
@@ -719,14 +749,26 @@
    */
   private void advanceCommit(LeaderState state) {
     long candidate =
-        state.commitCandidate(
-            log.membership(), persistedIndex, membershipPolicy.minimumDurableCopies());
+        decidingMemberships().stream()
+            .mapToLong(
+                membership ->
+                    state.commitCandidate(
+                        membership, persistedIndex, membershipPolicy.minimumDurableCopies()))
+            .min()
+            .orElseThrow();
     if (candidate > commitIndex && log.termAt(candidate) == term) {
       commitIndex = candidate;
       isAppendPending = true;
     }
   }
 
+  /** Records that durable entries are committed. If the membership is one, that becomes durable. */
+  private void recordDurableCommit() {
+    boolean wasMembershipIncluded = log.membershipIndex() <= durableCommitIndex;
+    durableCommitIndex = Math.max(durableCommitIndex, Math.min(commitIndex, persistedIndex));
+    isHardStateChanged |= !wasMembershipIncluded && log.membershipIndex() <= durableCommitIndex;
+  }
+
   private void tickLeader(LeaderState state, Instant now) {
     if (!state.isQuorumActive(log.membership(), now)) {
       becomeFollower(term, Optional.empty(), now);
@@ -737,10 +779,11 @@
       return;
     }
     state.expireTransfer(now);
+    state.syncMembers(decidingMemberships(), log.lastIndex() + 1, now);
     if (state.isHeartbeatDue(now)) {
       broadcast(state, now);
     }
-    if (log.membershipIndex() <= commitIndex) {
+    if (canChangeMembership(state)) {
       planner
           .maintain(state, log.membership(), commitIndex, now)
           .ifPresent(membership -> appendMembership(membership, now));
@@ -802,6 +845,38 @@
 
   // ------------------------------------------------------------------ helpers
 
+  /**
+   * Returns whether this leader may append another membership. It must know what the leaders before
+   * it have committed, which it does from the commit of its first entry on.
+   */
+  private boolean canChangeMembership(LeaderState state) {
+    return log.membershipIndex() <= commitIndex && state.isBarrierCommitted(commitIndex);
+  }
+
+  private boolean isMembershipCommitted() {
+    return log.membershipIndex() <= Math.max(commitIndex, durableCommitIndex);
+  }
+
+  /**
+   * Returns the memberships of which a quorum each decides: the newest one and, until that is known
+   * as committed, the one before it. Two memberships that differ by a member may have quorums
+   * without a replica in common that keeps its disk.
+   */
+  private List<Membership> decidingMemberships() {
+    Membership newest = log.membership();
+    return log.previousMembership()
+        .filter(previous -> !isMembershipCommitted())
+        .map(previous -> List.of(previous, newest))
+        .orElseGet(() -> List.of(newest));
+  }
+
+  /** Returns the replicas whose votes count in an election. */
+  private Set<String> electors() {
+    Set<String> names = new LinkedHashSet<>();
+    decidingMemberships().forEach(membership -> names.addAll(membership.voters()));
+    return names;
+  }
+
   private boolean isVoter(String name) {
     return log.membership().voters().contains(name);
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftLog.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftLog.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.geraniumwharf.schema.Codec;
 import org.geraniumwharf.schema.state.EntryKind;
@@ -129,6 +130,11 @@
     return memberships.lastEntry().getValue();
   }
 
+  /** Returns the membership before the newest one, if the log still contains where that was set. */
+  Optional<Membership> previousMembership() {
+    return Optional.ofNullable(memberships.lowerEntry(membershipIndex())).map(Map.Entry::getValue);
+  }
+
   long membershipIndex() {
     return memberships.lastKey();
   }
--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftMessageFactory.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftMessageFactory.java
@@ -28,7 +28,12 @@
   }
 
   RaftMessage voteAnswer(long term, boolean isPreVote, boolean isGranted) {
-    return VoteAnswer.of(group, self, term, isPreVote, isGranted);
+    return VoteAnswer.of(group, self, term, isPreVote, isGranted, false);
+  }
+
+  /** Creates the vote of a replica that lost its disk. */
+  RaftMessage recoveringVote(long term, boolean isPreVote) {
+    return VoteAnswer.of(group, self, term, isPreVote, false, true);
   }
 
   RaftMessage appendRequest(
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ReplacedVoterSchedule.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ReplacedVoterSchedule.java
@@ -51,6 +51,7 @@
     this.end = end;
     this.random = new SplittableRandom(seed);
     this.group = new SimulatedGroup(random);
+    group.joinRegularly();
   }
 
   /** Runs a schedule. An assertion that fails reports the seed. */
@@ -159,10 +160,11 @@
   }
 
   /** Asks the leader as a process does that is told to stop, until it may end. */
-  private void leave(SimulatedReplica replica, LeaveWait wait) {
+  private void leave(SimulatedReplica replica, LeaveWait before) {
     Optional<LeaveOutcome> outcome =
         group.leader().flatMap(leader -> leader.leave(replica.name(), group.now()));
-    if (wait.isOver(outcome, group.now())) {
+    LeaveWait wait = before.after(outcome, group.now());
+    if (wait.isOver(group.now())) {
       replica.transferLeadership(group.now());
       remove(replica);
     } else {
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ReplacedVoterTest.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/ReplacedVoterTest.java
@@ -22,6 +22,11 @@
     assertEquals(List.of(), failures(End.STOPPED));
   }
 
+  @Test
+  void should_go_on_without_a_voter_that_was_killed_and_with_two_lost_disks() {
+    assertEquals(List.of(), failures(End.KILLED));
+  }
+
   private static List<String> failures(End end) {
     Long replayed = Long.getLong("replaced.seed");
     LongStream seeds =
--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedGroup.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedGroup.java
@@ -38,6 +38,8 @@
   private long nextVersion = 1;
   private int nextName;
   private boolean isPublishing = true;
+  private boolean isJoiningRegularly;
+  private int stepsWithoutJoin;
   private Instant now = START;
 
   SimulatedGroup(SplittableRandom random) {
@@ -81,11 +83,14 @@
         find(delivery.to()).ifPresent(replica -> replica.receive(delivery.message(), now));
       }
       replicas.forEach(replica -> replica.tick(now));
-      if (random.nextInt(MEAN_STEPS_BETWEEN_JOINS) == 0) {
+      boolean isDrawn = random.nextInt(MEAN_STEPS_BETWEEN_JOINS) == 0;
+      stepsWithoutJoin++;
+      if (isDrawn || (isJoiningRegularly && stepsWithoutJoin >= MEAN_STEPS_BETWEEN_JOINS)) {
+        stepsWithoutJoin = 0;
         join();
-        if (isPublishing) {
-          publish(replicas.get(random.nextInt(replicas.size())));
-        }
+      }
+      if (isDrawn && isPublishing) {
+        publish(replicas.get(random.nextInt(replicas.size())));
       }
     }
   }
@@ -94,6 +99,11 @@
     return replicas.stream().filter(replica -> replica.name().equals(name)).findFirst();
   }
 
+  /** Lets instances ask for membership as often as their processes do, besides the drawn times. */
+  void joinRegularly() {
+    isJoiningRegularly = true;
+  }
+
   /** Requests membership from the leader for each instance that is not in a working group. */
   private void join() {
     Optional<SimulatedReplica> leader = leader();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/GroupLeaver.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/node/GroupLeaver.java
@@ -42,14 +42,13 @@
    * @param grace time from then after which it is killed
    */
   void leave(Instant begun, Duration grace) {
-    LeaveWait wait = LeaveWait.startingAt(begun, grace);
-    Optional<LeaveOutcome> last = ask();
-    while (!wait.isOver(last, clock.instant()) && pause()) {
-      last = ask();
+    LeaveWait wait = LeaveWait.startingAt(begun, grace).after(ask(), clock.instant());
+    while (!wait.isOver(clock.instant()) && pause()) {
+      wait = wait.after(ask(), clock.instant());
     }
     log.info(
         Event.of("group-left")
-            .with("outcome", last.map(LeaveOutcome::name).orElse("UNKNOWN"))
+            .with("outcome", wait.last().map(LeaveOutcome::name).orElse("UNKNOWN"))
             .with("millis", Duration.between(begun, clock.instant()).toMillis()));
   }
 
