Keep kept cache apart from what was made before an organisation was isolated

An organisation that isn't isolated has a prompt read; a new version isolates it; 3 s after the confirmation a request of another one uses the part that it made.

Cause: the cache scope was a function of the request's own organisation. Isolating one took its later requests out of the shared scope ("v1"), not what was in there of its earlier ones. Besides, a request that waited over the change was sent under the scope of its arrival.

Change: the shared scope is another one for each set of isolated organisations (CacheSharing): as before where there is none, else with a digest of their names. A request keeps apart from all who are isolated now or were so when it arrived; that is looked up before each decision and each send (RelayExchange.followIsolation).

Why it works: only organisations outside a set write under the scope of that set, so nothing in it is of one that is isolated under it, in whatever order the changes come. The scope is a function of the configuration alone, so entries need no shared record of who made what, and it is the same after restarts.

--- a/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
+++ b/geraniumwharf-bench/src/main/java/org/geraniumwharf/bench/PlacementLoad.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.geraniumwharf.relay.CacheSharing;
 import org.geraniumwharf.relay.EngineRates;
 import org.geraniumwharf.relay.PlacementQuery;
 import org.geraniumwharf.relay.PlacementRules;
@@ -116,7 +117,8 @@
             0,
             2,
             List.of());
-    return new ResolvedRequest(request, route, service, Optional.empty(), NOW.plusSeconds(8));
+    return new ResolvedRequest(
+        request, route, service, Optional.empty(), CacheSharing.amongAll(), NOW.plusSeconds(8));
   }
 
   /** Decides on the target of a request. */
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/RelayTable.java
@@ -37,11 +37,13 @@
   private final Map<String, List<RelayRoute>> routesByHost = new HashMap<>();
   private final Map<String, RelayService> servicesByName = new HashMap<>();
   private final Map<String, Organisation> organisationsByKeyDigest = new HashMap<>();
+  private final CacheSharing sharing;
   private Optional<RelayLimits> limits = Optional.empty();
 
   private RelayTable(Configuration configuration) {
     this.configuration = configuration;
     configuration.objects().forEach(this::add);
+    this.sharing = CacheSharing.isolating(isolatedIn(configuration));
     routesByHost
         .values()
         .forEach(routes -> routes.sort(Comparator.comparing(RelayTable::prefixLength).reversed()));
@@ -66,6 +68,15 @@
     }
   }
 
+  private static List<String> isolatedIn(Configuration configuration) {
+    return configuration.objects().stream()
+        .filter(Organisation.class::isInstance)
+        .map(Organisation.class::cast)
+        .filter(Organisation::isolated)
+        .map(Organisation::name)
+        .toList();
+  }
+
   private static int prefixLength(RelayRoute route) {
     return route.pathPrefix().length();
   }
@@ -97,6 +108,11 @@
     return Optional.ofNullable(organisationsByKeyDigest.get(digestOf(key)));
   }
 
+  /** Returns who shares kept cache. */
+  public CacheSharing sharing() {
+    return sharing;
+  }
+
   public Optional<RelayLimits> limits() {
     return limits;
   }
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ResolvedRequest.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/relay/ResolvedRequest.java
@@ -15,6 +15,7 @@
  * @param route route that matches the request
  * @param service service that handles the request
  * @param organisation organisation of the caller; empty for a caller without a known key
+ * @param sharing who shares kept cache, by each configuration that the request has met
  * @param deadline time after which the request is given up
  */
 public record ResolvedRequest(
@@ -22,8 +23,20 @@
     RelayRoute route,
     RelayService service,
     Optional<Organisation> organisation,
+    CacheSharing sharing,
     Instant deadline) {
 
+  /**
+   * Returns the request as it may be sent under a later configuration. It shares kept cache with
+   * none of those who are isolated there or were so when it arrived.
+   */
+  public ResolvedRequest sharingAlsoBy(CacheSharing later) {
+    CacheSharing both = sharing.and(later);
+    return both == sharing
+        ? this
+        : new ResolvedRequest(request, route, service, organisation, both, deadline);
+  }
+
   /**
    * Returns the queue priority, 0 being the most urgent: that of the organisation if it has one,
    * else that of the route.
@@ -63,12 +76,11 @@
 
   /**
    * Returns the scope within which kept cache may be shared. Different versions of the weights
-   * never share it, nor does an isolated organisation with any other.
+   * never share it, nor does an isolated organisation with any other, also not what one of the two
+   * made before.
    */
   public String cacheScope(RelayTarget target) {
-    String owner =
-        organisation.filter(Organisation::isolated).map(found -> "-" + found.name()).orElse("");
-    return "v" + target.weightsVersion() + owner;
+    return "v" + target.weightsVersion() + sharing.scopeOf(organisation);
   }
 
   /** Returns the leading parts of the prompt, which other requests of the same context share. */
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/ColdLoadPatternTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/ColdLoadPatternTest.java
@@ -130,7 +130,12 @@
   private ResolvedRequest request(String id) {
     ResolvedRequest plain = TestRequests.plain(id);
     return new ResolvedRequest(
-        plain.request(), plain.route(), service, plain.organisation(), plain.deadline());
+        plain.request(),
+        plain.route(),
+        service,
+        plain.organisation(),
+        plain.sharing(),
+        plain.deadline());
   }
 
   @Test
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/relay/TestRequests.java
@@ -67,7 +67,12 @@
             request.lastEventId(),
             request.arrivedAt());
     return new ResolvedRequest(
-        copy, resolved.route(), resolved.service(), resolved.organisation(), resolved.deadline());
+        copy,
+        resolved.route(),
+        resolved.service(),
+        resolved.organisation(),
+        resolved.sharing(),
+        resolved.deadline());
   }
 
   /** Returns the request on a route whose responses are not streamed. */
@@ -77,6 +82,7 @@
         route("whole", "/whole/", Execution.IDEMPOTENT, 0),
         resolved.service(),
         resolved.organisation(),
+        resolved.sharing(),
         resolved.deadline());
   }
 
@@ -88,6 +94,7 @@
         resolved.route().withAllowedRegions(ofRoute),
         resolved.service(),
         Optional.of(organisation("wanjiru", false).withAllowedRegions(ofOrganisation)),
+        resolved.sharing(),
         resolved.deadline());
   }
 
@@ -119,6 +126,7 @@
         route(route, "/" + route + "/", Execution.STREAM, 0),
         resolved.service(),
         resolved.organisation(),
+        resolved.sharing(),
         resolved.deadline());
   }
 
@@ -163,7 +171,13 @@
             Optional.empty(),
             NOW);
     return new ResolvedRequest(
-        request, route("drafts", "/drafts/", execution, 0), service, owner, NOW.plusSeconds(8));
+        request,
+        route("drafts", "/drafts/", execution, 0),
+        service,
+        owner,
+        CacheSharing.isolating(
+            owner.stream().filter(Organisation::isolated).map(Organisation::name).toList()),
+        NOW.plusSeconds(8));
   }
 
   static RelayTarget target(String id) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -151,6 +151,7 @@
                 connection.completedResponses(),
                 connection.age(now),
                 connection.localPort()));
+    exchange.followIsolation();
     CacheTransfers transfers = relay().planTransfers(exchange.request(), next.target());
     next.sent(connection, transfers, now);
     RelayProtocol.ForwardedRequest forwarded =
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeWait.java
@@ -102,6 +102,7 @@
   /** Sends the request to a target, queues it or refuses it. */
   void dispatch() {
     Instant now = relay().now();
+    exchange.followIsolation();
     Optional<ServingException> refusal = findRefusal(now);
     if (refusal.isPresent()) {
       exchange.end().reject(refusal.get());
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayAdmission.java
@@ -122,7 +122,12 @@
     Optional<Organisation> organisation = authenticate(table, route, request);
     RelayService service = table.service(chooseService(route, request.id())).orElseThrow();
     return new ResolvedRequest(
-        request, route, service, organisation, request.deadline(route.timeoutMillis()));
+        request,
+        route,
+        service,
+        organisation,
+        table.sharing(),
+        request.deadline(route.timeoutMillis()));
   }
 
   private static Optional<Organisation> authenticate(
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -12,6 +12,7 @@
 import org.geraniumwharf.error.ServingErrors;
 import org.geraniumwharf.error.ServingException;
 import org.geraniumwharf.limit.RequestLimit;
+import org.geraniumwharf.relay.CacheSharing;
 import org.geraniumwharf.relay.RelayRequest;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
@@ -84,6 +85,15 @@
     return request;
   }
 
+  /**
+   * Lets the request keep apart from those who were isolated since it arrived. To be called before
+   * a decision and before a send, between which a configuration may come into force.
+   */
+  void followIsolation() {
+    CacheSharing newest = relay.admission().routing().table().sharing();
+    request = request.map(admitted -> admitted.sharingAlsoBy(newest));
+  }
+
   ExchangeWait waiting() {
     return waiting;
   }
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/RegionRulesTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/RegionRulesTest.java
@@ -16,6 +16,7 @@
 import org.geraniumwharf.internal.metrics.DaemonMetrics;
 import org.geraniumwharf.logging.Event;
 import org.geraniumwharf.logging.EventLog;
+import org.geraniumwharf.relay.CacheSharing;
 import org.geraniumwharf.relay.DataCentreRegions;
 import org.geraniumwharf.relay.PromptPart;
 import org.geraniumwharf.relay.RelayRequest;
@@ -178,6 +179,7 @@
         route,
         RelayService.of("engines", Optional.empty(), 300, Optional.of(engine), Optional.empty()),
         Optional.empty(),
+        CacheSharing.amongAll(),
         NOW.plusSeconds(8));
   }
 
