--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.geraniumwharf.schema.messages.AppendAnswer;
 import org.geraniumwharf.schema.messages.AppendRequest;
@@ -57,6 +55,7 @@
   private final RaftTiming timing;
   private final RandomGenerator random;
   private final RaftLog log;
+  private final DecidingMemberships deciding;
   private final SnapshotSource snapshotSource;
   private final MembershipPolicy membershipPolicy;
   private final MembershipPlanner planner;
@@ -74,9 +73,6 @@
   private long firstUnpersistedIndex;
   private boolean isHardStateChanged;
 
-  /** Newest index that is known as committed and whose entry was durable before that was known. */
-  private long durableCommitIndex;
-
   private boolean isRecovering;
   private boolean isAppendPending;
   private boolean hasHadLeader;
@@ -109,7 +105,7 @@
     this.term = initial.hardState().term();
     this.votedFor = initial.hardState().vote();
     this.isRecovering = initial.hardState().recovering();
-    this.durableCommitIndex = initial.hardState().commit();
+    this.deciding = new DecidingMemberships(log, initial.hardState().commit());
     this.startedAt = now;
     this.commitIndex = initial.snapshotIndex();
     this.appliedIndex = initial.snapshotIndex();
@@ -131,7 +127,7 @@
       tickLeader(leaderState.get(), now);
     } else if (!now.isBefore(electionDeadline)) {
       electionDeadline = randomElectionDeadline(now);
-      if (electors().contains(self) && !isRecovering) {
+      if (isElector() && !isRecovering) {
         startPreVote(now);
       }
     }
@@ -251,7 +247,7 @@
     persistedIndex = log.lastIndex();
     firstUnpersistedIndex = persistedIndex + 1;
     leaderState.ifPresent(this::advanceCommit);
-    recordDurableCommit();
+    isHardStateChanged |= deciding.recordDurableCommit(Math.min(commitIndex, persistedIndex));
   }
 
   /** Removes the applied entries up to an index that a durable snapshot covers. */
@@ -339,7 +335,7 @@
 
   /** Returns the hard state to write at the start of a new log file. */
   public HardState hardState() {
-    return HardState.of(term, votedFor, durableCommitIndex, isRecovering);
+    return HardState.of(term, votedFor, deciding.durableCommitIndex(), isRecovering);
   }
 
   /** Returns the entries after an index; the log must contain that index. */
@@ -425,7 +421,7 @@
     } else if (message instanceof InstallSnapshot request) {
       handleInstallSnapshot(request, now);
     } else if (message instanceof TimeoutNow) {
-      if (electors().contains(self) && leaderState.isEmpty() && !isRecovering) {
+      if (isElector() && leaderState.isEmpty() && !isRecovering) {
         startElection(true, now);
       }
     }
@@ -529,7 +525,7 @@
     } else if (answer.recovering()) {
       votes.addRecovering(answer.from());
     }
-    if (votes.isElectedIn(decidingMemberships())) {
+    if (votes.isElectedIn(deciding.get(commitIndex))) {
       handleQuorumGranted(now);
     }
   }
@@ -561,11 +557,11 @@
 
   private void requestVotes(long candidateTerm, boolean preVote, boolean isTransfer, Instant now) {
     votes.reset(self);
-    if (votes.isElectedIn(decidingMemberships())) {
+    if (votes.isElectedIn(deciding.get(commitIndex))) {
       handleQuorumGranted(now);
       return;
     }
-    for (String voter : electors()) {
+    for (String voter : deciding.electors(commitIndex)) {
       if (!voter.equals(self)) {
         send(voter, messageFactory.voteRequest(candidateTerm, preVote, isTransfer, log));
       }
@@ -589,7 +585,7 @@
     hasHadLeader = true;
     leader = Optional.of(self);
     LeaderState state = new LeaderState(self, timing, now);
-    state.syncMembers(decidingMemberships(), log.lastIndex() + 1, now);
+    state.syncMembers(deciding.get(commitIndex), log.lastIndex() + 1, now);
     leaderState = Optional.of(state);
     appendAsLeader(EntryKind.BARRIER, new byte[0]);
     state.setBarrierIndex(log.lastIndex());
@@ -739,7 +735,7 @@
     LeaderState state = leaderState.orElseThrow();
     long index = log.lastIndex() + 1;
     log.append(LogEntry.of(index, term, EntryKind.MEMBERSHIP, MembershipChange.encode(membership)));
-    state.syncMembers(decidingMemberships(), index, now);
+    state.syncMembers(deciding.get(commitIndex), index, now);
     broadcast(state, now);
   }
 
@@ -749,7 +745,7 @@
    */
   private void advanceCommit(LeaderState state) {
     long candidate =
-        decidingMemberships().stream()
+        deciding.get(commitIndex).stream()
             .mapToLong(
                 membership ->
                     state.commitCandidate(
@@ -762,13 +758,6 @@
     }
   }
 
-  /** Records that durable entries are committed. If the membership is one, that becomes durable. */
-  private void recordDurableCommit() {
-    boolean wasMembershipIncluded = log.membershipIndex() <= durableCommitIndex;
-    durableCommitIndex = Math.max(durableCommitIndex, Math.min(commitIndex, persistedIndex));
-    isHardStateChanged |= !wasMembershipIncluded && log.membershipIndex() <= durableCommitIndex;
-  }
-
   private void tickLeader(LeaderState state, Instant now) {
     if (!state.isQuorumActive(log.membership(), now)) {
       becomeFollower(term, Optional.empty(), now);
@@ -779,7 +768,7 @@
       return;
     }
     state.expireTransfer(now);
-    state.syncMembers(decidingMemberships(), log.lastIndex() + 1, now);
+    state.syncMembers(deciding.get(commitIndex), log.lastIndex() + 1, now);
     if (state.isHeartbeatDue(now)) {
       broadcast(state, now);
     }
@@ -853,28 +842,8 @@
     return log.membershipIndex() <= commitIndex && state.isBarrierCommitted(commitIndex);
   }
 
-  private boolean isMembershipCommitted() {
-    return log.membershipIndex() <= Math.max(commitIndex, durableCommitIndex);
-  }
-
-  /**
-   * Returns the memberships of which a quorum each decides: the newest one and, until that is known
-   * as committed, the one before it. Two memberships that differ by a member may have quorums
-   * without a replica in common that keeps its disk.
-   */
-  private List<Membership> decidingMemberships() {
-    Membership newest = log.membership();
-    return log.previousMembership()
-        .filter(previous -> !isMembershipCommitted())
-        .map(previous -> List.of(previous, newest))
-        .orElseGet(() -> List.of(newest));
-  }
-
-  /** Returns the replicas whose votes count in an election. */
-  private Set<String> electors() {
-    Set<String> names = new LinkedHashSet<>();
-    decidingMemberships().forEach(membership -> names.addAll(membership.voters()));
-    return names;
+  private boolean isElector() {
+    return deciding.electors(commitIndex).contains(self);
   }
 
   private boolean isVoter(String name) {
