--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/raft/RaftCore.java
@@ -72,7 +72,6 @@
   private long persistedIndex;
   private long firstUnpersistedIndex;
   private boolean isHardStateChanged;
-
   private boolean isRecovering;
   private boolean isAppendPending;
   private boolean hasHadLeader;
