Let instances of a simulated group pause as long between joins as processes

That was too short: a process asks 400 ms after its last call has ended, and a call may take 1.5 s, so schedules left out orders that can happen.

Cause: GroupJoiner was read for its interval without its timeout.

Change: the longest pause is 1.9 s; shorter ones are drawn as before.

--- a/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedGroup.java
+++ b/geraniumwharf-control/src/test/java/org/geraniumwharf/internal/raft/SimulatedGroup.java
@@ -26,6 +26,10 @@
   private static final int SIZE = 2 * TOLERATED_LOSSES + 1;
   private static final int FORMING_STEPS = 800;
   private static final int MEAN_STEPS_BETWEEN_JOINS = 40;
+
+  /** A process asks 400 ms after its last call has ended, which may take 1.5 s. */
+  private static final int MAX_STEPS_BETWEEN_JOINS = 190;
+
   private static final MembershipPolicy POLICY =
       MembershipPolicy.toleratingLosses(TOLERATED_LOSSES);
 
@@ -85,7 +89,7 @@
       replicas.forEach(replica -> replica.tick(now));
       boolean isDrawn = random.nextInt(MEAN_STEPS_BETWEEN_JOINS) == 0;
       stepsWithoutJoin++;
-      if (isDrawn || (isJoiningRegularly && stepsWithoutJoin >= MEAN_STEPS_BETWEEN_JOINS)) {
+      if (isDrawn || (isJoiningRegularly && stepsWithoutJoin >= MAX_STEPS_BETWEEN_JOINS)) {
         stepsWithoutJoin = 0;
         join();
       }
