Show that long prompts keep a crashing part from being refused

Where the prompts with a part that crashes workers have over 512 parts, the front machine's ledger fails on each crash, and the part is never refused (BUDGET).

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -7,4 +7,4 @@
   echo "run scripts/platform-build and review/build-3.sh first" >&2
   exit 2
 fi
-exec java -Xmx96m -cp target/review-3 FrontStopsOnOneBody review/12/record.txt
+exec java -Xmx96m -cp target/review-3 NeverSuspected review/12/record.txt
