--- a/review/standins-3/ControlProcessesEnd.java
+++ b/review/standins-3/ControlProcessesEnd.java
@@ -10,18 +10,25 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One part of a prompt crashes each worker that begins to write an answer on it. Two workers have
- * crashed when the control process that leads is killed; two more crash before another one leads,
- * the last of them under a long prompt. Judged: how often control processes end by themselves, with
- * no impairment there.
+ * One part of a prompt crashes each worker that begins to write an answer on it, beside sound
+ * requests. Two workers crash under it while they are at work for other callers, who share a context
+ * and leave soon after; two more crash later, the last of them under a long prompt. Judged: how
+ * often control processes end by themselves. No process of the system is touched.
  */
 final class ControlProcessesEnd {
 
-  private static final double CONTACT = 3.0;
   private static final int CORES = 5;
   private static final int ENDS_TO_COUNT = 3;
   private static final int WORKERS = 13;
   private static final int RESTART_MILLIS = 2000;
+
+  /** Requests of other callers that are at work when the first two workers crash. */
+  private static final int SLOW_REQUESTS = 80;
+
+  /** Time after which their callers leave; the answers take three times two seconds. */
+  private static final int PATIENCE_MILLIS = 2600;
+
+  private static final int SLOW_PAUSE_MILLIS = 2000;
   private static final double OBSERVED_SECONDS = 30;
 
   /** Parts of the long prompt, one for each block of memory; with 12 bytes each of its header. */
@@ -64,21 +71,20 @@
     }
     deployment.awaitReady(40);
     awaitServed();
+    Worker.thread(this::sendSoundOften);
     Worker.sleep(5000);
 
-    double killedAt = record.seconds();
+    for (int i = 0; i < SLOW_REQUESTS; i++) {
+      sendSlow();
+    }
+    Worker.sleep(700);
     if (isTrouble) {
-      sendCrashing("", 1500);
-      sendCrashing("", 1500);
-      killedAt = record.seconds();
-      int leader = leader();
-      deployment.kill(leader);
-      Worker.sleep(150);
-      sendCrashing("", 35);
-      sendCrashing(blocks(), 850);
-      deployment.restartEnded();
+      sendCrashing("", 1000);
+      sendCrashing("", 2500);
+      sendCrashing("", 2000);
+      sendCrashing(blocks(), 0);
     }
-    Map<Integer, Integer> ends = observe(killedAt + CONTACT);
+    Map<Integer, Integer> ends = observe();
     long often = ends.values().stream().filter(count -> count >= ENDS_TO_COUNT).count();
     String result =
         "ends of control processes by themselves, by machine: " + ends + "; three or more on " + often
@@ -94,17 +100,15 @@
     return 2 * often >= CORES ? 1 : 0;
   }
 
-  /** Counts the processes that end from a time on; each is started again after a short delay. */
-  private Map<Integer, Integer> observe(double from) throws IOException {
+  /** Counts the control processes that end; each is started again after a short delay. */
+  private Map<Integer, Integer> observe() throws IOException {
     Map<Integer, Integer> ends = new TreeMap<>();
     double end = record.seconds() + OBSERVED_SECONDS;
     while (record.seconds() < end) {
       List<Integer> ended = deployment.endedCores();
       for (int core : ended) {
         record.line("the process of core-%d has ended by itself", core);
-        if (record.seconds() > from) {
-          ends.merge(core, 1, Integer::sum);
-        }
+        ends.merge(core, 1, Integer::sum);
       }
       if (!ended.isEmpty()) {
         Worker.sleep(500);
@@ -115,20 +119,6 @@
     return ends;
   }
 
-  private int leader() throws IOException {
-    int leader = 1;
-    String newest = "";
-    for (int i = 1; i <= CORES; i++) {
-      for (String line : deployment.logLines("core-" + i, "role=LEADER")) {
-        if (line.compareTo(newest) > 0) {
-          newest = line;
-          leader = i;
-        }
-      }
-    }
-    return leader;
-  }
-
   private int publishOnce(String manifest) {
     int status = 0;
     for (int i = 1; i <= CORES && status != 200; i++) {
@@ -161,7 +151,7 @@
       Worker.thread(() -> restart(worker));
       return false;
     }
-    worker.stream(request, out, 20);
+    worker.stream(request, out, id.startsWith("slow-") ? SLOW_PAUSE_MILLIS : 20);
     return true;
   }
 
@@ -196,11 +186,30 @@
     int n = NUMBER.incrementAndGet();
     String own = hex("session" + n) + ":60," + hex("last" + n) + ":30";
     calls.execute(
-        () -> call("crashing-" + n, "aa01:500," + CRASHING + ":200," + moreParts + own));
+        () -> call(1, "crashing-" + n, "aa01:500," + CRASHING + ":200," + moreParts + own, 9000));
     Worker.sleep(pauseMillis);
   }
 
-  private int call(String id, String prompt) {
+  /** Sends sound requests to both front machines all the while. */
+  private void sendSoundOften() {
+    for (int i = 0; true; i++) {
+      int n = NUMBER.incrementAndGet();
+      int front = 1 + i % 2;
+      String prompt = "aa01:500," + hex("other" + n % 10) + ":400," + hex("last" + n) + ":30";
+      calls.execute(() -> call(front, "sound-" + n, prompt, 9000));
+      Worker.sleep(250);
+    }
+  }
+
+  /** Sends a request on the shared context at the second front machine. */
+  private void sendSlow() {
+    int n = NUMBER.incrementAndGet();
+    String prompt = "aa01:500," + hex("county") + ":300," + hex("context") + ":400,";
+    calls.execute(
+        () -> call(2, "slow-" + n, prompt + hex("last" + n) + ":30", PATIENCE_MILLIS));
+  }
+
+  private int call(int front, String id, String prompt, int patienceMillis) {
     String head =
         "POST /draft/x HTTP/1.1\r\nHost: " + Operator.HOST + "\r\nX-Request-Id: " + id
             + "\r\nX-Model: m0\r\nX-Token-Usage: 10400,3\r\nX-Prefix-Hash: " + prompt
@@ -209,7 +218,11 @@
     int status = 0;
     try {
       status =
-          Http.call(deployment.front(1), head, "body".getBytes(StandardCharsets.UTF_8), 9000)
+          Http.call(
+                  deployment.front(front),
+                  head,
+                  "body".getBytes(StandardCharsets.UTF_8),
+                  patienceMillis)
               .status();
     } catch (IOException e) {
       // No whole answer.
@@ -220,7 +233,7 @@
 
   private void awaitServed() throws IOException {
     for (int i = 0; i < 100; i++) {
-      if (call("first-" + i, "aa01:500,bb:400," + hex("first" + i) + ":30") == 200) {
+      if (call(1 + i % 2, "first-" + i, "aa01:500,bb:400," + hex("first" + i) + ":30", 9000) == 200) {
         return;
       }
       Worker.sleep(200);
--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -188,12 +188,6 @@
     throw new IOException("the deploy file has no " + name + " of " + role);
   }
 
-  /** Kills the process of a control machine. */
-  void kill(int core) {
-    processes.get(coreHost(core)).destroyForcibly();
-    record.line("the process of core-%d is killed", core);
-  }
-
   /** Starts the control processes that have ended again, with their disks, as the provider does. */
   void restartEnded() throws IOException {
     for (int core : endedCores()) {
