Keep a report of a crash under a long prompt from ending each leader

Callers saw: after a crash of a target under a prompt of over 512 parts there was no leader any more.

Cause: CrashLedger kept 512 suspected parts and dropped the oldest while it added those of a report, so it dropped parts of that same report and then looked them up (NullPointerException). At the leader the exception ended the replica's thread, thus the process; the entry, without an answer, sent the report to the next one. At the entry it came before the crash was noted.

Change: parts of the newest report are never dropped, of the others those with one crash go first, and the bound is 16,384. A call that cannot be handled fails alone, and so do the duties of a tick. What a remote sets is bounded in bytes: long ids by a digest, a report by 4,096 parts or one crash, what waits to be reported by 32,768 parts, lists by 512, log lines by 32.

Why it works: no look-up follows a drop, whatever the number of parts and the order of reports, and no call of a daemon can end the thread that handles it.

--- a/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
+++ b/geraniumwharf-control/src/main/java/org/geraniumwharf/internal/replica/ReplicaRunner.java
@@ -146,8 +146,7 @@
             positions -> storeReader.changesSince(positions),
             this::propose,
             this::read);
-    this.earlyCalls =
-        new EarlyCalls((call, answer) -> callHandler.handle(call, answer, clock.instant()));
+    this.earlyCalls = new EarlyCalls((call, answer) -> handle(call, answer, clock.instant()));
     this.thread = new Thread(this::run, "replica-" + options.name());
   }
 
@@ -196,7 +195,24 @@
             && !isStopRequested()
             && earlyCalls.add(queued.call, queued.answer, now);
     if (!isHeld) {
-      callHandler.handle(queued.call, queued.answer, now);
+      handle(queued.call, queued.answer, now);
+    }
+  }
+
+  /**
+   * Handles a call. One that cannot be handled fails alone: its sender repeats it at each leader,
+   * and would end all of them one after the other.
+   */
+  private void handle(PeerMessage call, CompletableFuture<ControlAnswer> answer, Instant now) {
+    try {
+      callHandler.handle(call, answer, now);
+    } catch (RuntimeException e) {
+      log.warn(
+          Event.of("call-not-handled")
+              .with("replica", options.name())
+              .with("call", call.getClass().getSimpleName())
+              .with("cause", e));
+      answer.complete(PendingCalls.failed("the call cannot be handled", true));
     }
   }
 
@@ -360,13 +376,23 @@
     core.tick(now);
     isJoined = core.isJoined(now);
     if (core.role() == Role.LEADER) {
-      duties.tick(state, now).forEach(this::proposeInternal);
+      tickDuties(now).forEach(this::proposeInternal);
       placement
           .tick(state, core.term(), core.confirmedAge(now), () -> duties.liveDaemonNames(now), now)
           .forEach(this::proposeInternal);
     }
   }
 
+  /** Returns the commands that are due; none if what daemons reported cannot be evaluated. */
+  private List<Command> tickDuties(Instant now) {
+    try {
+      return duties.tick(state, now);
+    } catch (RuntimeException e) {
+      log.warn(Event.of("duties-failed").with("replica", options.name()).with("cause", e));
+      return List.of();
+    }
+  }
+
   /** Tells the watchers how old the view is, after everything that is committed was applied. */
   private void sendFreshnessIfDue(Instant now) {
     boolean wasConfirmed = viewConfirmedAge.compareTo(NEVER_CONFIRMED) < 0;
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/CrashLedger.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.geraniumwharf.schema.messages.CrashEvidence;
 
@@ -44,8 +46,14 @@
   /** Time after the last crash for which a part stays quarantined. */
   public static final Duration QUARANTINE_VALIDITY = Duration.ofMinutes(10);
 
-  /** Number of parts that are suspected at a time, and of those that are quarantined. */
-  public static final int MAX_PARTS = 512;
+  /** Number of parts that are suspected at a time, unless one report alone has more. */
+  static final int MAX_SUSPECTED_PARTS = 16_384;
+
+  /** Number of suspected parts that are listed to entry instances; those of most crashes first. */
+  static final int MAX_LISTED_PARTS = 512;
+
+  /** Number of parts that are quarantined at a time. */
+  static final int MAX_QUARANTINED_PARTS = 512;
 
   /** Crashes of a part that are kept to recognise later reports of them. */
   private static final int MAX_CRASHES_PER_PART = 64;
@@ -55,6 +63,9 @@
 
   private final List<WaitingPart> waiting = new ArrayList<>();
 
+  /** Suspected parts as they are listed; empty if they have to be listed anew. */
+  private Optional<List<String>> listed = Optional.empty();
+
   private CrashLedger() {}
 
   public static CrashLedger create() {
@@ -72,6 +83,7 @@
   public List<QuarantineChange> recordCrash(CrashEvidence evidence, Instant now) {
     Crash crash = new Crash(evidence.target(), evidence.incarnation());
     Instant reportedAt = firstReportOf(crash).orElse(now);
+    listed = Optional.empty();
     List<Suspicion> explaining = evidence.parts().stream().flatMap(this::findQuarantined).toList();
     if (!explaining.isEmpty()) {
       explaining.forEach(suspicion -> suspicion.add(crash, evidence.proven(), reportedAt, now));
@@ -81,6 +93,7 @@
       Suspicion suspicion = suspect(evidence.parts().get(i), i, now);
       suspicion.add(crash, evidence.proven(), reportedAt, now);
     }
+    dropSuspected(Set.copyOf(evidence.parts()));
     return evidence.proven() || isExplained(crash)
         ? List.of()
         : quarantineMostLikely(evidence.parts(), crash, now);
@@ -105,22 +118,44 @@
     return Stream.concat(suspected.values().stream(), quarantined.values().stream());
   }
 
-  /** Suspects a part and moves it to the end, so that the oldest is dropped first. */
+  /** Suspects a part and moves it to the end, so that those of the oldest crashes come first. */
   private Suspicion suspect(String part, int depth, Instant now) {
     Suspicion suspicion =
         Optional.ofNullable(suspected.remove(part)).orElseGet(() -> new Suspicion(now));
     suspicion.depth = Math.max(suspicion.depth, depth);
     suspected.put(part, suspicion);
-    dropOldest(suspected);
     return suspicion;
   }
 
-  private static void dropOldest(Map<String, Suspicion> parts) {
-    if (parts.size() > MAX_PARTS) {
-      parts.remove(parts.keySet().iterator().next());
+  /**
+   * Drops the oldest suspected parts beyond {@link #MAX_SUSPECTED_PARTS}, those with one crash
+   * first. Parts of the newest report stay: one of them may be the cause, however many they are.
+   */
+  private void dropSuspected(Set<String> newest) {
+    dropOldest(newest, part -> suspected.get(part).crashes.size() == 1);
+    dropOldest(newest, part -> true);
+  }
+
+  private void dropOldest(Set<String> newest, Predicate<String> mayBeDropped) {
+    Iterator<String> oldestFirst = suspected.keySet().iterator();
+    int excess = suspected.size() - MAX_SUSPECTED_PARTS;
+    while (excess > 0 && oldestFirst.hasNext()) {
+      String part = oldestFirst.next();
+      if (!newest.contains(part) && mayBeDropped.test(part)) {
+        oldestFirst.remove();
+        excess--;
+      }
     }
   }
 
+  private void addQuarantined(String part, Suspicion suspicion) {
+    quarantined.put(part, suspicion);
+    if (quarantined.size() > MAX_QUARANTINED_PARTS) {
+      quarantined.remove(quarantined.keySet().iterator().next());
+    }
+    listed = Optional.empty();
+  }
+
   /**
    * Quarantines the part with the most crashes if they suffice. Of several, the deepest one in the
    * prompt is quarantined: the leading parts are shared by more requests, which can still prove
@@ -150,8 +185,7 @@
 
   private List<QuarantineChange> quarantine(String part, Instant now) {
     Suspicion suspicion = suspected.remove(part);
-    quarantined.put(part, suspicion);
-    dropOldest(quarantined);
+    addQuarantined(part, suspicion);
     return List.of(
         QuarantineChange.quarantined(
             part, suspicion.crashes.size(), "targets crashed under it, last at " + now));
@@ -249,16 +283,19 @@
   /** Records a complete answer to a request with a part, which clears and releases the part. */
   public List<QuarantineChange> recordSound(String part) {
     suspected.remove(part);
+    listed = Optional.empty();
     return release(part, "a target answered it completely");
   }
 
   /** Forgets a part that was cleared elsewhere. */
   List<QuarantineChange> forget(String part) {
     suspected.remove(part);
+    listed = Optional.empty();
     return release(part, "it was cleared elsewhere");
   }
 
   private List<QuarantineChange> release(String part, String cause) {
+    listed = Optional.empty();
     return Optional.ofNullable(quarantined.remove(part))
         .map(held -> List.of(QuarantineChange.released(part, held.crashes.size(), cause)))
         .orElse(List.of());
@@ -272,8 +309,7 @@
     Suspicion suspicion =
         Optional.ofNullable(suspected.remove(part)).orElseGet(() -> new Suspicion(now));
     suspicion.lastCrashAt = now;
-    quarantined.put(part, suspicion);
-    dropOldest(quarantined);
+    addQuarantined(part, suspicion);
     return List.of(
         QuarantineChange.quarantined(
             part, suspicion.crashes.size(), "it was quarantined under an earlier leader"));
@@ -281,9 +317,13 @@
 
   /** Removes expired evidence and releases parts whose quarantine has expired. */
   public List<QuarantineChange> expire(Instant now) {
-    suspected
-        .values()
-        .removeIf(suspicion -> !now.isBefore(suspicion.lastCrashAt.plus(EVIDENCE_VALIDITY)));
+    boolean isAnyExpired =
+        suspected
+            .values()
+            .removeIf(suspicion -> !now.isBefore(suspicion.lastCrashAt.plus(EVIDENCE_VALIDITY)));
+    if (isAnyExpired) {
+      listed = Optional.empty();
+    }
     List<QuarantineChange> changes = new ArrayList<>();
     for (String part : List.copyOf(quarantined.keySet())) {
       if (!now.isBefore(quarantined.get(part).lastCrashAt.plus(QUARANTINE_VALIDITY))) {
@@ -325,9 +365,22 @@
     return counted;
   }
 
-  /** Returns the suspected parts that are not quarantined; those of the oldest crashes first. */
+  /**
+   * Returns suspected parts that are not quarantined, {@link #MAX_LISTED_PARTS} at most: those of
+   * most crashes, and of them those of the oldest crashes first.
+   */
   public List<String> suspectedParts() {
-    return suspected.keySet().stream().filter(this::isSuspected).toList();
+    List<String> parts = listed.orElseGet(this::listSuspected);
+    listed = Optional.of(parts);
+    return parts;
+  }
+
+  private List<String> listSuspected() {
+    return suspected.keySet().stream()
+        .filter(this::isSuspected)
+        .sorted(Comparator.comparingInt(this::crashes).reversed())
+        .limit(MAX_LISTED_PARTS)
+        .toList();
   }
 
   public List<String> quarantinedParts() {
--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,6 +34,15 @@
   /** Crashes, sound parts and quarantined parts of one report, each. */
   static final int MAX_REPORTED = 128;
 
+  /** Parts of the crashes of one report, unless its first crash alone has more. */
+  static final int MAX_PARTS_OF_REPORT = 4096;
+
+  /** Parts of one crash, more than the longest usual header of a request has room for. */
+  static final int MAX_PARTS_OF_CRASH = 16_384;
+
+  /** Parts of all crashes that are not reported yet. */
+  private static final int MAX_UNREPORTED_PARTS = 2 * MAX_PARTS_OF_CRASH;
+
   private static final int MAX_SOUND_PARTS = 4096;
 
   private final CrashLedger own = CrashLedger.create();
@@ -103,7 +113,8 @@
       String target, long incarnation, List<String> parts, Instant now) {
     List<QuarantineChange> changes = new ArrayList<>(own.expire(now));
     List<String> unproven = parts.stream().filter(part -> !isSoundLately(part, now)).toList();
-    List<String> suspects = unproven.isEmpty() ? parts : unproven;
+    List<String> suspects =
+        (unproven.isEmpty() ? parts : unproven).stream().limit(MAX_PARTS_OF_CRASH).toList();
     if (suspects.isEmpty()) {
       return changes;
     }
@@ -111,10 +122,21 @@
     changes.addAll(own.recordCrash(evidence, now));
     changes.addAll(own.quarantineReported(now));
     unreportedCrashes.add(evidence);
-    dropOldest(unreportedCrashes);
+    dropOldestCrashes();
     return changes;
   }
 
+  private void dropOldestCrashes() {
+    dropOldest(unreportedCrashes);
+    int excess = unreportedCrashes.stream().mapToInt(crash -> crash.parts().size()).sum();
+    excess -= MAX_UNREPORTED_PARTS;
+    Iterator<CrashEvidence> oldestFirst = unreportedCrashes.iterator();
+    while (excess > 0) {
+      excess -= oldestFirst.next().parts().size();
+      oldestFirst.remove();
+    }
+  }
+
   /** Returns the parts whose quarantine waits by the evidence of this instance; each once. */
   public synchronized List<CrashLedger.WaitingPart> takeWaiting() {
     return own.takeWaiting();
@@ -173,7 +195,7 @@
   /** Returns what the next heartbeat reports. */
   public synchronized Report report() {
     return new Report(
-        List.copyOf(unreportedCrashes),
+        nextCrashes(),
         List.copyOf(unreportedSound),
         held.entrySet().stream()
             .filter(entry -> entry.getValue().term != term)
@@ -182,6 +204,20 @@
             .toList());
   }
 
+  /** Returns the oldest crashes that have not been reported, as many as fit into one report. */
+  private List<CrashEvidence> nextCrashes() {
+    List<CrashEvidence> crashes = new ArrayList<>();
+    int parts = 0;
+    for (CrashEvidence evidence : unreportedCrashes) {
+      parts += evidence.parts().size();
+      if (!crashes.isEmpty() && parts > MAX_PARTS_OF_REPORT) {
+        break;
+      }
+      crashes.add(evidence);
+    }
+    return List.copyOf(crashes);
+  }
+
   /**
    * Applies the lists of the leader. A part that this leader listed earlier or was reported to it,
    * and that it does not list now, is released. A part of an earlier leader is kept and reported.
@@ -219,8 +255,14 @@
     return changes;
   }
 
-  /** Forgets own evidence that the leader has received and no longer counts. */
+  /**
+   * Forgets own evidence that the leader has received and no longer counts. Nothing is known of
+   * parts that are not listed if the list of suspected ones is full.
+   */
   private List<QuarantineChange> forgetCleared(LeaderLists lists) {
+    if (lists.suspected().size() >= CrashLedger.MAX_LISTED_PARTS) {
+      return List.of();
+    }
     Set<String> counted = new HashSet<>(lists.suspected());
     counted.addAll(lists.quarantined());
     unreportedCrashes.forEach(evidence -> counted.addAll(evidence.parts()));
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
@@ -228,6 +228,25 @@
     assertEquals(PartQuarantine.MAX_REPORTED, other.report().soundParts().size());
   }
 
+  // Such a report ended each control process that came to lead, and failed at the instance itself.
+  @Test
+  void should_report_crashes_under_prompts_of_thousands_of_parts_one_after_the_other() {
+    for (int i = 1; i <= 3; i++) {
+      int number = i;
+      List<String> parts = new ArrayList<>(List.of("bad"));
+      IntStream.range(0, 3000).forEach(k -> parts.add("block-" + number + "-" + k));
+      one.recordCrash("target-" + i, 1, parts, START);
+    }
+
+    int crashesOfFirst = one.report().crashes().size();
+    heartbeats(START);
+    heartbeats(START);
+
+    assertEquals(1, crashesOfFirst);
+    assertEquals(List.of(), one.report().crashes());
+    assertEquals(List.of("bad"), leader.quarantinedParts());
+  }
+
   /** Crashes that follow one another faster than heartbeats, as in the failed test of the fleet. */
   private static final int CRASHES = 4;
 
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CrashWatch.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/CrashWatch.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.geraniumwharf.internal.fleet.ControlDirectory;
 import org.geraniumwharf.logging.Event;
+import org.geraniumwharf.quarantine.PartId;
 import org.geraniumwharf.relay.PromptPart;
 import org.geraniumwharf.relay.RelayTarget;
 import org.geraniumwharf.relay.ResolvedRequest;
@@ -30,6 +31,8 @@
   /** Events of a stream from which its request is not suspected of a later crash. */
   private static final int UNSUSPICIOUS_EVENTS = 2;
 
+  private static final int MAX_LOGGED_PARTS = 32;
+
   private final RelayState relay;
   private final EventLoop loop;
   private final TargetConnectionPool pool;
@@ -74,7 +77,7 @@
   static List<String> partsOf(ResolvedRequest request) {
     return request.request().prompt().size() < 2
         ? List.of()
-        : request.sharedParts().stream().map(PromptPart::id).toList();
+        : request.sharedParts().stream().map(PromptPart::id).map(PartId::of).toList();
   }
 
   /** Returns whether nothing listens at an address, as opposed to no response from its host. */
@@ -100,7 +103,8 @@
                 .with("target", target.id())
                 .with("incarnation", incarnation)
                 .with("request", request.request().id())
-                .with("parts", parts));
+                .with("parts", parts.subList(0, Math.min(parts.size(), MAX_LOGGED_PARTS)))
+                .with("partCount", parts.size()));
     relay.quarantine().recordCrash(target.id(), incarnation, parts, relay.now());
   }
 
