Count crashes of targets at any point of the answer

Cause: CrashWatch took a call from its second event on for one whose request had not caused the crash; no probe, no evidence.

Change: each failed call is evidence if its target is gone. The rest of a stream is no proof. A suspected request waits for the probe after a failure too. Streams with events are sent on unless two crashes count against them here.

Why it works: what a target had written no longer matters, so no point of the answer is left at which a crash goes unnoticed, but that behind a caller who has left.

--- a/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
+++ b/geraniumwharf-core/src/main/java/org/geraniumwharf/quarantine/PartQuarantine.java
@@ -91,10 +91,21 @@
     return found != null && now.isBefore(found.listedAt.plus(CrashLedger.QUARANTINE_VALIDITY));
   }
 
-  /** Returns whether an earlier crash counts against a part of a prompt. */
-  public synchronized boolean isAnySuspected(Collection<String> parts, Instant now) {
+  /**
+   * Returns whether earlier crashes count against a part of a prompt.
+   *
+   * @param crashes how many; if more than one, only those that this instance noticed count
+   */
+  public synchronized boolean isAnySuspected(Collection<String> parts, int crashes, Instant now) {
     own.expire(now);
-    return parts.stream().anyMatch(this::isSuspected);
+    return crashes > 1
+        ? parts.stream().anyMatch(part -> own.crashes(part) >= crashes)
+        : parts.stream().anyMatch(this::isSuspected);
+  }
+
+  /** Returns whether all parts of a prompt were answered completely lately. */
+  public synchronized boolean isProven(Collection<String> parts, Instant now) {
+    return parts.stream().allMatch(part -> isSoundLately(part, now));
   }
 
   private boolean isSuspected(String part) {
--- a/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
+++ b/geraniumwharf-core/src/test/java/org/geraniumwharf/quarantine/PartQuarantineTest.java
@@ -65,8 +65,8 @@
 
     heartbeats(START);
 
-    assertTrue(other.isAnySuspected(List.of("first", "bad"), START));
-    assertFalse(other.isAnySuspected(List.of("first"), START));
+    assertTrue(other.isAnySuspected(List.of("first", "bad"), 1, START));
+    assertFalse(other.isAnySuspected(List.of("first"), 1, START));
   }
 
   @Test
@@ -101,8 +101,8 @@
 
     one.recordCrash("target-1", 1, List.of("first", "bad"), START.plusSeconds(1));
 
-    assertTrue(one.isAnySuspected(List.of("first"), START.plusSeconds(1)));
-    assertTrue(one.isAnySuspected(List.of("bad"), START.plusSeconds(1)));
+    assertTrue(one.isAnySuspected(List.of("first"), 1, START.plusSeconds(1)));
+    assertTrue(one.isAnySuspected(List.of("bad"), 1, START.plusSeconds(1)));
   }
 
   // A complete answer shortly before proves a part sound, but it may crash targets since.
@@ -146,7 +146,7 @@
     heartbeats(START);
 
     assertEquals(List.of("bad"), leader.quarantinedParts());
-    assertFalse(one.isAnySuspected(List.of("first", "under-way"), START));
+    assertFalse(one.isAnySuspected(List.of("first", "under-way"), 1, START));
   }
 
   @Test
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeCalls.java
@@ -153,7 +153,9 @@
                 connection.localPort()));
     exchange.followIsolation();
     CacheTransfers transfers = relay().planTransfers(exchange.request(), next.target());
-    next.sent(connection, transfers, now);
+    boolean isResumed =
+        exchange.stream().isStarted() || exchange.parsedRequest().lastEventId().isPresent();
+    next.sent(connection, transfers, isResumed, now);
     RelayProtocol.ForwardedRequest forwarded =
         new RelayProtocol.ForwardedRequest(
             exchange.request(),
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeResults.java
@@ -34,7 +34,7 @@
                     .load()
                     .recordResponse(
                         endedCall.target().id(), exchange.request(), sent.elapsedMillis(now), now));
-    relay().recordSound(exchange.request());
+    crashWatch().answered(exchange.request(), endedCall, true);
     relay().recordFirstResponse(exchange.request(), exchange.calls().sentAt(), now);
     relay().recordResponse(exchange.request(), exchange.calls().sentAt(), now);
     if (exchange.calls().end(endedCall)) {
@@ -51,17 +51,28 @@
     exchange.end().recordPossiblyExecuted();
     if (!exchange.calls().end(endedCall)) {
       body.release();
-    } else if ((isStarted || status >= 500)
-        && exchange.request().isRetryable()
-        && tryAcquireRetry(0)) {
-      body.release();
-      retry(endedCall, "status " + status);
-    } else if (isStarted) {
-      body.release();
-      exchange.end().abort("status " + status + " for the rest of the stream");
-    } else {
-      exchange.end().finishWithResponse(head, body, "failed", endedCall);
+      return;
     }
+    crashWatch()
+        .answeredWithFailure(
+            exchange.request(),
+            endedCall,
+            mayRetry -> {
+              if (exchange.isDone()) {
+                body.release();
+              } else if (mayRetry
+                  && (isStarted || status >= 500)
+                  && exchange.request().isRetryable()
+                  && tryAcquireRetry(0)) {
+                body.release();
+                retry(endedCall, "status " + status);
+              } else if (isStarted) {
+                body.release();
+                exchange.end().abort("status " + status + " for the rest of the stream");
+              } else {
+                exchange.end().finishWithResponse(head, body, "failed", endedCall);
+              }
+            });
   }
 
   void notExecuted(TargetCall endedCall, int status) {
@@ -114,12 +125,15 @@
       retryOrFail(endedCall, cause, true);
       return;
     }
-    relay()
-        .crashWatch(exchange.caller().targetPool(), exchange.loop())
+    crashWatch()
         .callFailed(
             exchange.request(), endedCall, mayRetry -> retryOrFail(endedCall, cause, mayRetry));
   }
 
+  private CrashWatch crashWatch() {
+    return exchange.crashWatch();
+  }
+
   private void retryOrFail(TargetCall endedCall, String cause, boolean mayRetry) {
     if (exchange.isDone()) {
       return;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/ExchangeStream.java
@@ -73,7 +73,7 @@
       return;
     }
     if (isStarted) {
-      relay.recordSound(exchange.request());
+      exchange.crashWatch().answered(exchange.request(), endedCall, !endedCall.isResumed());
       relay.recordResponse(exchange.request(), exchange.calls().sentAt(), relay.now());
       exchange.end().finish("answered", endedCall.target().id(), "");
       exchange.caller().endResponse();
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LoggedQuarantine.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/LoggedQuarantine.java
@@ -26,8 +26,12 @@
     return parts.findQuarantined(prompt, now);
   }
 
-  boolean isAnySuspected(List<String> prompt, Instant now) {
-    return parts.isAnySuspected(prompt, now);
+  boolean isAnySuspected(List<String> prompt, int crashes, Instant now) {
+    return parts.isAnySuspected(prompt, crashes, now);
+  }
+
+  boolean isProven(List<String> prompt, Instant now) {
+    return parts.isProven(prompt, now);
   }
 
   void recordCrash(String target, long incarnation, List<String> prompt, Instant now) {
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayExchange.java
@@ -94,6 +94,11 @@
     request = request.map(admitted -> admitted.sharingAlsoBy(newest));
   }
 
+  /** Returns the crash watch of the targets of this exchange. */
+  CrashWatch crashWatch() {
+    return relay.crashWatch(caller.targetPool(), loop);
+  }
+
   ExchangeWait waiting() {
     return waiting;
   }
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/RelayState.java
@@ -246,13 +246,6 @@
     return Optional.of(ServingErrors.weightsOverdue(service));
   }
 
-  /** Records a complete answer to a request. */
-  void recordSound(ResolvedRequest request) {
-    if (request.isGeneration()) {
-      quarantine.recordSound(CrashWatch.partsOf(request), now());
-    }
-  }
-
   /**
    * Records what a target states in a response about further requests.
    *
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetCall.java
@@ -46,6 +46,7 @@
   private Optional<HttpResponse> head = Optional.empty();
   private TargetResponse.Verdict verdict = TargetResponse.Verdict.UNTRUSTED;
   private int eventCount;
+  private boolean isResumed;
   private boolean isTurnedAway;
   private boolean isFailed;
   private boolean isEnded;
@@ -77,9 +78,14 @@
     return permit;
   }
 
-  /** Records that the request is being sent. */
-  void sent(TargetConnection opened, CacheTransfers transfers, Instant now) {
+  /**
+   * Records that the request is being sent.
+   *
+   * @param isResumed whether the target is asked for the rest of a stream only
+   */
+  void sent(TargetConnection opened, CacheTransfers transfers, boolean isResumed, Instant now) {
     connection = Optional.of(opened);
+    this.isResumed = isResumed;
     estimate = Optional.of(new FirstTokenEstimate(choice, transfers, now));
   }
 
@@ -92,6 +98,16 @@
     return connection.isPresent();
   }
 
+  /** Returns whether the target was asked for the rest of a stream only. */
+  boolean isResumed() {
+    return isResumed;
+  }
+
+  /** Returns whether neither side has closed the connection over which the request was sent. */
+  boolean isConnectionOpen() {
+    return connection.filter(TargetConnection::isOpen).isPresent();
+  }
+
   /** Returns the head of the response to the request; empty if none has come. */
   Optional<HttpResponse> head() {
     return head;
--- a/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
+++ b/geraniumwharf-daemon/src/main/java/org/geraniumwharf/internal/relay/TargetConnection.java
@@ -231,6 +231,11 @@
     return count != 0;
   }
 
+  /** Returns whether neither side has closed the connection. */
+  boolean isOpen() {
+    return channel.isActive();
+  }
+
   /** Returns whether the connection may be returned to the pool. */
   boolean isPoolable() {
     return channel.isActive() && isReusable && listener.isEmpty();
--- a/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/FailedCallTest.java
+++ b/geraniumwharf-daemon/src/test/java/org/geraniumwharf/internal/relay/FailedCallTest.java
@@ -34,7 +34,10 @@
   @Test
   void should_not_count_a_call_without_an_answer_as_work_that_was_done() {
     call.sent(
-        new TargetConnection(null, null, null, null, null, () -> NOW), CacheTransfers.none(), NOW);
+        new TargetConnection(null, null, null, null, null, () -> NOW),
+        CacheTransfers.none(),
+        false,
+        NOW);
     assertTrue(call.isWorkDone());
 
     call.onFailure("the connection was closed");
